--- /dev/null
+++ b/apps/sidecar/main.cc
@@ -0,0 +1,213 @@
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <QCoreApplication>
+#include <QFileInfo>
+#include <QSocketNotifier>
+#include <QTimer>
+#include <boost/leaf/handle_errors.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+#include "commandline/program.h"
+#include "platform/dialect.h"
+#include "platform/endpoints.h"
+#include "platform/sidecar_settings.h"
+#include "platform/store_client.h"
+
+namespace jujubefront {
+namespace {
+
+constexpr int kAddressExitCode = 4;
+constexpr const char* kSettingsVariable = "JUJUBEFRONT_CONFIG";
+// Interval at which the settings file is looked at for changes that nobody
+// has signalled.
+constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
+
+// How silence is noticed where bytes are expected at any time.
+constexpr SilenceOptions kLinkSilence = {
+    .keep_alive_idle_ = std::chrono::seconds(2),
+    .keep_alive_interval_ = std::chrono::seconds(1),
+    .keep_alive_probes_ = 2,
+    .unacknowledged_ = std::chrono::milliseconds(1500)};
+// Clients may be slow to read.
+constexpr SilenceOptions kClientSilence = {
+    .keep_alive_idle_ = std::chrono::seconds(10),
+    .keep_alive_interval_ = std::chrono::seconds(3),
+    .keep_alive_probes_ = 3,
+    .unacknowledged_ = std::chrono::seconds(20)};
+
+int BlockSignals() {
+  sigset_t handled;
+  sigemptyset(&handled);
+  sigaddset(&handled, SIGTERM);
+  sigaddset(&handled, SIGINT);
+  sigaddset(&handled, SIGHUP);
+  sigprocmask(SIG_BLOCK, &handled, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signalfd(-1, &handled, SFD_CLOEXEC | SFD_NONBLOCK);
+}
+
+void PrintIssues(const platform::SidecarSettingsInvalid& invalid) {
+  for (const Issue& issue : invalid.issues_) {
+    std::cerr << FormatIssue(invalid.path_, issue) << '\n';
+  }
+}
+
+std::uint64_t DrawNumber() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+// One sidecar from its settings to its end.
+class SidecarProcess {
+ public:
+  SidecarProcess(platform::SidecarSettings settings, std::string path)
+      : settings_(std::move(settings)),
+        path_(std::move(path)),
+        changed_at_(QFileInfo(QString::fromStdString(path_)).lastModified()),
+        shell_(settings_.shell_, platform::MakeDialect(),
+               [](int code) { QCoreApplication::exit(code); }),
+        store_({.address_ = settings_.store_address_,
+                .node_address_ = settings_.shell_.relay_.address_,
+                .silence_ = kLinkSilence},
+               [this](RelayEventBody body) { shell_.Feed(std::move(body)); }),
+        endpoints_(
+            {.feed_ =
+                 [this](RelayEventBody body) { shell_.Feed(std::move(body)); },
+             .ready_ = [this] { return shell_.ready(); },
+             .metrics_ = [this] { return shell_.Metrics(); }},
+            kLinkSilence) {
+    shell_.SetStore(store_.Port());
+  }
+
+  std::optional<std::string> Start() {
+    if (auto taken = endpoints_.Listen(settings_.endpoints_)) return taken;
+    return shell_.Start();
+  }
+
+  void Stop() { shell_.Feed(StopRequested{}); }
+
+  void ReloadIfChanged() {
+    const auto changed =
+        QFileInfo(QString::fromStdString(path_)).lastModified();
+    if (changed != changed_at_) Reload();
+  }
+
+  // Settings that cannot be read leave the present ones in force.
+  void Reload() {
+    changed_at_ = QFileInfo(QString::fromStdString(path_)).lastModified();
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          BOOST_LEAF_AUTO(loaded, platform::LoadSidecarSettings(path_));
+          RelayOptions relay = loaded.shell_.relay_;
+          relay.boot_ = settings_.shell_.relay_.boot_;
+          relay.seed_ = settings_.shell_.relay_.seed_;
+          // Addresses in use stay until the process starts again.
+          relay.address_ = settings_.shell_.relay_.address_;
+          shell_.Reload(relay);
+          return {};
+        },
+        [](const platform::SidecarSettingsInvalid& invalid) {
+          PrintIssues(invalid);
+        },
+        [] { std::cerr << "settings cannot be read\n"; });
+  }
+
+ private:
+  platform::SidecarSettings settings_;
+  std::string path_;
+  QDateTime changed_at_;
+  RelayShell shell_;
+  platform::StoreClient store_;
+  platform::Endpoints endpoints_;
+};
+
+int RunSidecar(int argc, char** argv, platform::SidecarSettings settings,
+               const std::string& path, int signals) {
+  // The poll-based dispatcher makes fewer system calls than GLib's.
+  qputenv("QT_NO_GLIB", "1");
+  QCoreApplication application(argc, argv);
+  settings.shell_.relay_.boot_ = DrawNumber();
+  settings.shell_.relay_.seed_ = DrawNumber();
+  settings.shell_.link_silence_ = kLinkSilence;
+  settings.shell_.client_silence_ = kClientSilence;
+  SidecarProcess process(std::move(settings), path);
+  QSocketNotifier notifier(signals, QSocketNotifier::Read);
+  QObject::connect(&notifier, &QSocketNotifier::activated, [&] {
+    signalfd_siginfo info{};
+    while (read(signals, &info, sizeof(info)) == sizeof(info)) {
+      if (info.ssi_signo == SIGHUP) {
+        process.Reload();
+      } else {
+        process.Stop();
+      }
+    }
+  });
+  QTimer settings_check;
+  QObject::connect(&settings_check, &QTimer::timeout,
+                   [&] { process.ReloadIfChanged(); });
+  settings_check.start(std::chrono::duration_cast<std::chrono::milliseconds>(
+      kSettingsCheckInterval));
+  if (const auto taken = process.Start()) {
+    std::cerr << "jujubefront-sidecar: cannot listen on " << *taken << '\n';
+    return kAddressExitCode;
+  }
+  return QCoreApplication::exec();
+}
+
+int Run(const cxxopts::ParseResult& arguments, int argc, char** argv) {
+  std::string path;
+  if (arguments.count("settings") > 0) {
+    path = arguments["settings"].as<std::string>();
+  } else if (const char* named = std::getenv(kSettingsVariable)) {
+    path = named;
+  } else {
+    std::cerr << "jujubefront-sidecar: --settings is required\n";
+    return kUsageExitCode;
+  }
+  const int signals = BlockSignals();
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<int> {
+        BOOST_LEAF_AUTO(settings, platform::LoadSidecarSettings(path));
+        if (arguments.count("check-settings") > 0) return 0;
+        return RunSidecar(argc, argv, std::move(settings), path, signals);
+      },
+      [](const platform::SidecarSettingsInvalid& invalid) {
+        PrintIssues(invalid);
+        return kUsageExitCode;
+      },
+      [](const platform::SidecarSettingsUnreadable& error) {
+        std::cerr << error.path_ << ": cannot be read\n";
+        return kUsageExitCode;
+      },
+      [] { return kUsageExitCode; });
+}
+
+}  // namespace
+}  // namespace jujubefront
+
+int main(int argc, char** argv) {
+  return jujubefront::RunProgram(
+      {.name_ = "jujubefront-sidecar",
+       .description_ =
+           "Overload control on the platform: one process beside every backend "
+           "server.\nExit codes: 0 stopped as planned, 2 settings or usage, 3 "
+           "stopped with requests cut off,\n4 an address cannot be bound.",
+       .add_options_ =
+           [](cxxopts::Options& options) {
+             options.add_options()(
+                 "s,settings",
+                 "settings file (TOML); default: the file that "
+                 "JUJUBEFRONT_CONFIG names",
+                 cxxopts::value<std::string>())(
+                 "check-settings", "check the settings and exit");
+           },
+       .run_ =
+           [&](const cxxopts::ParseResult& arguments) {
+             return jujubefront::Run(arguments, argc, argv);
+           }},
+      argc, argv);
+}
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,17 +1,23 @@
 # Options and helpers shared by every module.
 
-find_package(Qt6 6.4 REQUIRED COMPONENTS Core Network HttpServer)
+find_package(Qt6 6.4 REQUIRED COMPONENTS Core Network)
+if(JUJUBEFRONT_TESTS)
+  find_package(Qt6 6.4 REQUIRED COMPONENTS HttpServer)
+endif()
 find_package(CapnProto REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
-pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
+if(JUJUBEFRONT_TESTS)
+  pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
+endif()
 pkg_check_modules(TOMLPLUSPLUS REQUIRED IMPORTED_TARGET tomlplusplus)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 
 add_library(jujubefront_options INTERFACE)
 target_include_directories(jujubefront_options INTERFACE ${PROJECT_SOURCE_DIR}/src)
 target_compile_options(jujubefront_options INTERFACE
-  -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers
+  -Wall -Wextra -Wpedantic -Wno-missing-field-initializers
+  $<$<BOOL:${JUJUBEFRONT_WERROR}>:-Werror>
   # GCC 12 reports string concatenation wrongly (bug 105651).
   -Wno-restrict)
 target_compile_definitions(jujubefront_options INTERFACE
@@ -34,6 +40,9 @@
 
 # jujubefront_tests(NAME SOURCES... [LINK libs...]): one CppUnit runner per module.
 function(jujubefront_tests name)
+  if(NOT JUJUBEFRONT_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
   add_executable(${name}_tests ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/src/base/tests/runner.cc)
   target_link_libraries(${name}_tests PRIVATE ${ARG_LINK} PkgConfig::CPPUNIT)
--- /dev/null
+++ b/src/allocation/allocation.cc
@@ -0,0 +1,86 @@
+#include "allocation/allocation.h"
+
+#include <algorithm>
+
+namespace jujubefront {
+namespace {
+
+void AddCost(const std::map<std::string, RouteProfile>& profiles,
+             const std::string& route, double runs, std::uint32_t depth_left,
+             std::map<std::string, double>& cost) {
+  const auto found = profiles.find(route);
+  if (found == profiles.end() || depth_left == 0) return;
+  const RouteProfile& profile = found->second;
+  cost[profile.service_] += runs * profile.slot_seconds_;
+  for (const auto& [called, times] : profile.calls_) {
+    AddCost(profiles, called, runs * times, depth_left - 1, cost);
+  }
+}
+
+struct Claim {
+  const RouteDemand* demand_ = nullptr;
+  std::map<std::string, double> cost_;
+  double fraction_ = 1.0;
+};
+
+// Scales the claims of one priority to what is left, and takes it.
+void Grant(std::vector<Claim>& claims, std::map<std::string, double>& left) {
+  std::map<std::string, double> wanted;
+  for (const Claim& claim : claims) {
+    for (const auto& [service, cost] : claim.cost_) {
+      wanted[service] += cost * claim.demand_->per_second_;
+    }
+  }
+  for (Claim& claim : claims) {
+    for (const auto& [service, cost] : claim.cost_) {
+      const auto room = left.find(service);
+      if (room == left.end() || cost <= 0.0 || wanted[service] <= 0.0) continue;
+      claim.fraction_ = std::min(claim.fraction_, std::max(0.0, room->second) /
+                                                      wanted[service]);
+    }
+  }
+  for (const Claim& claim : claims) {
+    for (const auto& [service, cost] : claim.cost_) {
+      const auto room = left.find(service);
+      if (room == left.end()) continue;
+      room->second -= cost * claim.demand_->per_second_ * claim.fraction_;
+    }
+  }
+}
+
+}  // namespace
+
+std::map<std::string, double> TreeCost(
+    const std::map<std::string, RouteProfile>& profiles,
+    const std::string& route, const AllocationOptions& options) {
+  std::map<std::string, double> cost;
+  AddCost(profiles, route, 1.0, options.max_depth_, cost);
+  return cost;
+}
+
+std::map<std::string, double> Allocate(
+    const std::map<std::string, RouteProfile>& profiles,
+    const std::vector<RouteDemand>& demands,
+    const std::map<std::string, double>& slots,
+    const AllocationOptions& options) {
+  std::map<std::string, double> left;
+  for (const auto& [service, count] : slots) {
+    left[service] = count * options.utilisation_;
+  }
+  std::map<std::uint32_t, std::vector<Claim>> by_priority;
+  for (const RouteDemand& demand : demands) {
+    by_priority[demand.priority_].push_back(
+        {.demand_ = &demand,
+         .cost_ = TreeCost(profiles, demand.route_, options)});
+  }
+  std::map<std::string, double> fractions;
+  for (auto& [priority, claims] : by_priority) {
+    Grant(claims, left);
+    for (const Claim& claim : claims) {
+      fractions[claim.demand_->route_] = claim.fraction_;
+    }
+  }
+  return fractions;
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/allocation/allocation.h
@@ -0,0 +1,54 @@
+#ifndef JUJUBEFRONT_ALLOCATION_ALLOCATION_H_
+#define JUJUBEFRONT_ALLOCATION_ALLOCATION_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace jujubefront {
+
+// What one run of a route costs, as the hosts of its service measured it.
+struct RouteProfile {
+  std::string route_;
+  std::string service_;
+  double runs_ = 0.0;          // weight of the measurement, in runs
+  double slot_seconds_ = 0.0;  // time for which a run holds its slot
+  std::map<std::string, double> calls_;  // calls of a run, by called route
+};
+
+// Demand of clients for a route.
+struct RouteDemand {
+  std::string route_;
+  std::uint32_t priority_ = 0;  // 0 is the most important
+  double per_second_ = 0.0;
+};
+
+// Settings of the allocation.
+struct AllocationOptions {
+  // Part of the slots of a service that is given out; the rest absorbs the
+  // unevenness of arrivals.
+  double utilisation_ = 0.9;
+  std::uint32_t max_depth_ = 32;
+};
+
+// Slot seconds that one run of a route needs at each service, with everything
+// that it calls.
+std::map<std::string, double> TreeCost(
+    const std::map<std::string, RouteProfile>& profiles,
+    const std::string& route, const AllocationOptions& options);
+
+// Part of the demand of each route that fits, in [0, 1]: every service gives
+// its slots to the most important routes first, routes of one priority share
+// alike, and a request is admitted only where all its calls fit too. Answers
+// fan-out overload: a request whose calls do not fit is work wasted at every
+// other service.
+std::map<std::string, double> Allocate(
+    const std::map<std::string, RouteProfile>& profiles,
+    const std::vector<RouteDemand>& demands,
+    const std::map<std::string, double>& slots,
+    const AllocationOptions& options);
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_ALLOCATION_ALLOCATION_H_
--- a/src/base/duration_text.cc
+++ b/src/base/duration_text.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace jujubefront {
 namespace {
@@ -24,16 +25,20 @@
 }  // namespace
 
 std::optional<Duration> ParseDuration(std::string_view text) {
-  std::int64_t number = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc() || number < 0) return std::nullopt;
-  const std::string_view suffix(
-      end, static_cast<std::size_t>(text.data() + text.size() - end));
+  const char* const text_end = text.data() + text.size();
+  double number = 0.0;
+  const auto [end, error] = std::from_chars(text.data(), text_end, number,
+                                            std::chars_format::fixed);
+  if (error != std::errc() || !(number >= 0.0)) return std::nullopt;
+  const std::string_view suffix(end, static_cast<std::size_t>(text_end - end));
   for (const Unit& unit : kUnits) {
     if (suffix != unit.name_) continue;
-    if (number > kMaxMicroseconds / unit.microseconds_) return std::nullopt;
-    return Duration(number * unit.microseconds_);
+    const double microseconds =
+        number * static_cast<double>(unit.microseconds_);
+    if (microseconds > static_cast<double>(kMaxMicroseconds)) {
+      return std::nullopt;
+    }
+    return Duration(std::llround(microseconds));
   }
   return std::nullopt;
 }
--- /dev/null
+++ b/src/http1/http1_client.cc
@@ -0,0 +1,240 @@
+#include "http1/http1_client.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace jujubefront {
+namespace {
+
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
+// A kept connection is given up this long before the server would close it.
+constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(1000);
+// Responses to earlier requests that are skipped before a connection is
+// taken for broken.
+constexpr int kMaxForeignResponses = 3;
+
+using Clock = std::chrono::steady_clock;
+
+// Idle time that a response allows, or nothing when it says none.
+std::optional<Duration> StatedIdleTime(const Http1Response& response) {
+  const std::string* value = FindHeader(response.headers_, "Keep-Alive");
+  if (value == nullptr) return std::nullopt;
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto at = value->find(kTimeout);
+  if (at == std::string::npos) return std::nullopt;
+  int seconds = 0;
+  const char* begin = value->data() + at + kTimeout.size();
+  const auto [end, error] =
+      std::from_chars(begin, value->data() + value->size(), seconds);
+  if (error != std::errc() || seconds < 0) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+struct Http1Client::Connection {
+  std::uint64_t id_ = 0;
+  TcpConnection* socket_ = nullptr;
+  std::unique_ptr<Http1ResponseReader> reader_;
+  std::uint64_t call_id_ = 0;
+  bool busy_ = false;
+  bool written_ = false;  // bytes of the present request went to the socket
+  std::string pending_;   // request that waits for the connection
+  std::string correlation_;
+  int foreign_ = 0;
+  Clock::time_point idle_until_;
+};
+
+Http1Client::Http1Client(Http1ClientOptions options, Handlers handlers)
+    : options_(std::move(options)), handlers_(std::move(handlers)) {
+  sweep_.setInterval(
+      std::chrono::duration_cast<std::chrono::milliseconds>(kSweepInterval));
+  connect(&sweep_, &QTimer::timeout, this, [this] { CloseStale(); });
+  sweep_.start();
+}
+
+Http1Client::~Http1Client() {
+  for (auto& [id, connection] : connections_) connection->socket_->Close();
+}
+
+void Http1Client::SetAddress(const std::string& address) {
+  if (address == address_) return;
+  address_ = address;
+  while (!idle_.empty()) Remove(*idle_.back());
+}
+
+Http1Client::Connection* Http1Client::TakeIdle() {
+  const auto now = Clock::now();
+  while (!idle_.empty()) {
+    Connection* connection = idle_.back();
+    if (connection->idle_until_ > now &&
+        !connection->socket_->HasPendingEnd()) {
+      idle_.pop_back();
+      return connection;
+    }
+    Remove(*connection);
+  }
+  return nullptr;
+}
+
+Http1Client::Connection* Http1Client::OpenNew() {
+  TcpConnection* socket = TcpConnection::Open(address_, options_.silence_);
+  if (socket == nullptr) return nullptr;
+  auto owned = std::make_unique<Connection>();
+  Connection* connection = owned.get();
+  connection->id_ = ++last_id_;
+  connection->socket_ = socket;
+  connections_[connection->id_] = std::move(owned);
+  socket->SetHandlers({.on_connected_ =
+                           [connection] {
+                             if (connection->pending_.empty()) return;
+                             connection->written_ = true;
+                             const std::string text =
+                                 std::move(connection->pending_);
+                             connection->pending_.clear();
+                             connection->socket_->Write(text);
+                           },
+                       .on_data_ = [this, connection] { OnData(*connection); },
+                       .on_flushed_ = {},
+                       .on_end_ =
+                           [this, connection](ConnectionEnd end) {
+                             OnEnd(*connection, end);
+                           }});
+  return connection;
+}
+
+void Http1Client::Send(std::uint64_t call_id, const Http1Request& request,
+                       bool fresh) {
+  Connection* connection = fresh ? nullptr : TakeIdle();
+  if (connection == nullptr) connection = OpenNew();
+  if (connection == nullptr) {
+    QTimer::singleShot(0, this, [this, call_id] {
+      handlers_.on_failure_(call_id, Http1Failure::kNotSent);
+    });
+    return;
+  }
+  calls_[call_id] = connection;
+  connection->call_id_ = call_id;
+  connection->busy_ = true;
+  connection->foreign_ = 0;
+  connection->reader_ = std::make_unique<Http1ResponseReader>(
+      options_.limits_, request.method_ == "HEAD");
+  const std::string* correlation =
+      options_.correlation_header_.empty()
+          ? nullptr
+          : FindHeader(request.headers_, options_.correlation_header_);
+  connection->correlation_ = correlation == nullptr ? "" : *correlation;
+  std::string text = WriteRequest(request);
+  if (connection->socket_->connected()) {
+    connection->written_ = true;
+    connection->socket_->Write(text);
+  } else {
+    connection->written_ = false;
+    connection->pending_ = std::move(text);
+  }
+}
+
+void Http1Client::Abort(std::uint64_t call_id) {
+  const auto found = calls_.find(call_id);
+  if (found == calls_.end()) return;
+  Connection& connection = *found->second;
+  calls_.erase(found);
+  connection.busy_ = false;
+  Remove(connection);
+}
+
+void Http1Client::OnData(Connection& connection) {
+  // Bytes on an idle connection belong to no request.
+  if (!connection.busy_) return Remove(connection);
+  const auto progress = connection.reader_->Read(connection.socket_->inbox());
+  connection.socket_->Consume(progress.consumed_);
+  if (progress.fault_ != Http1Fault::kNone) {
+    return Fail(connection, Http1Failure::kMalformed);
+  }
+  if (progress.complete_) Complete(connection);
+}
+
+bool Http1Client::Belongs(const Connection& connection,
+                          const Http1Response& response) const {
+  if (connection.correlation_.empty()) return true;
+  const std::string* echoed =
+      FindHeader(response.headers_, options_.correlation_header_);
+  return echoed != nullptr && *echoed == connection.correlation_;
+}
+
+void Http1Client::Complete(Connection& connection) {
+  Http1Response response = connection.reader_->Take();
+  if (!Belongs(connection, response)) {
+    // A late second response to an earlier request: the right one follows.
+    const bool skip = response.keep_alive_ &&
+                      ++connection.foreign_ <= kMaxForeignResponses;
+    if (!skip) return Fail(connection, Http1Failure::kMalformed);
+    if (!connection.socket_->inbox().empty()) OnData(connection);
+    return;
+  }
+  const std::uint64_t call_id = connection.call_id_;
+  calls_.erase(call_id);
+  connection.busy_ = false;
+  Park(connection, response);
+  handlers_.on_response_(call_id, std::move(response));
+}
+
+void Http1Client::Park(Connection& connection, const Http1Response& response) {
+  Duration idle = options_.idle_timeout_;
+  if (const auto stated = StatedIdleTime(response)) {
+    idle = std::min(idle, *stated - kKeepAliveMargin);
+  }
+  // Bytes after the response, or a request that the server has not read to
+  // its end, make the next exchange ambiguous.
+  const bool clean = connection.socket_->inbox().empty() &&
+                     connection.socket_->unsent_bytes() == 0;
+  if (!response.keep_alive_ || !clean || connection.foreign_ > 0 ||
+      idle <= Duration::zero() || idle_.size() >= options_.max_idle_) {
+    return Remove(connection);
+  }
+  connection.idle_until_ = Clock::now() + idle;
+  idle_.push_back(&connection);
+}
+
+void Http1Client::OnEnd(Connection& connection, ConnectionEnd end) {
+  if (!connection.busy_) return Remove(connection);
+  if (!connection.written_) return Fail(connection, Http1Failure::kNotSent);
+  if (end == ConnectionEnd::kFinished) {
+    const Http1Progress progress = connection.reader_->ReadEnd();
+    if (progress.complete_) {
+      Http1Response response = connection.reader_->Take();
+      if (Belongs(connection, response)) {
+        const std::uint64_t call_id = connection.call_id_;
+        calls_.erase(call_id);
+        connection.busy_ = false;
+        Remove(connection);
+        return handlers_.on_response_(call_id, std::move(response));
+      }
+    }
+  }
+  Fail(connection, Http1Failure::kBroken);
+}
+
+void Http1Client::Fail(Connection& connection, Http1Failure failure) {
+  const std::uint64_t call_id = connection.call_id_;
+  calls_.erase(call_id);
+  connection.busy_ = false;
+  Remove(connection);
+  handlers_.on_failure_(call_id, failure);
+}
+
+void Http1Client::Remove(Connection& connection) {
+  std::erase(idle_, &connection);
+  connection.socket_->Close();
+  connections_.erase(connection.id_);
+}
+
+void Http1Client::CloseStale() {
+  const auto now = Clock::now();
+  const std::vector<Connection*> idle = idle_;
+  for (Connection* connection : idle) {
+    if (connection->idle_until_ <= now) Remove(*connection);
+  }
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/http1/http1_codec.cc
@@ -0,0 +1,255 @@
+#include "http1/http1_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <set>
+
+namespace jujubefront {
+namespace {
+
+namespace http = boost::beast::http;
+
+Http1Fault FaultOf(const boost::beast::error_code& error) {
+  if (error == http::error::header_limit) return Http1Fault::kHeaderTooLarge;
+  if (error == http::error::body_limit) return Http1Fault::kBodyTooLarge;
+  if (error == http::error::partial_message) return Http1Fault::kCutOff;
+  return Http1Fault::kMalformed;
+}
+
+// Feeds bytes to a parser until it is done or needs more.
+template <typename ParserType>
+Http1Progress Feed(ParserType& parser, std::string_view bytes) {
+  Http1Progress progress;
+  while (progress.consumed_ < bytes.size() && !parser.is_done()) {
+    boost::beast::error_code error;
+    const auto rest = bytes.substr(progress.consumed_);
+    const std::size_t count =
+        parser.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+    progress.consumed_ += count;
+    if (error == http::error::need_more) break;
+    if (error) {
+      progress.fault_ = FaultOf(error);
+      return progress;
+    }
+    if (count == 0) break;
+  }
+  progress.complete_ = parser.is_done();
+  return progress;
+}
+
+template <typename Fields>
+HeaderList HeadersOf(const Fields& fields) {
+  HeaderList headers;
+  headers.reserve(12);
+  for (const auto& field : fields) {
+    headers.emplace_back(std::string(field.name_string()),
+                         std::string(field.value()));
+  }
+  return headers;
+}
+
+template <typename Message>
+std::string Serialize(Message& message, const std::string& body,
+                      bool with_body) {
+  typename http::serializer<Message::is_request::value,
+                            http::empty_body> serializer(message);
+  serializer.split(true);
+  std::string text;
+  text.reserve(512 + body.size());
+  boost::beast::error_code error;
+  serializer.next(error, [&](auto&, const auto& buffers) {
+    text = boost::beast::buffers_to_string(buffers);
+  });
+  if (with_body) text += body;
+  return text;
+}
+
+bool ResponseHasNoBody(int status) {
+  return status < 200 || status == 204 || status == 304;
+}
+
+}  // namespace
+
+const std::string* FindHeader(const HeaderList& headers,
+                              std::string_view name) {
+  for (const auto& [key, value] : headers) {
+    if (SameHeaderName(key, name)) return &value;
+  }
+  return nullptr;
+}
+
+bool SameHeaderName(std::string_view first, std::string_view second) {
+  return boost::beast::iequals(first, second);
+}
+
+struct Http1RequestReader::Parser {
+  http::request_parser<http::string_body> parser_;
+  bool started_ = false;
+};
+
+Http1RequestReader::Http1RequestReader(const Http1Limits& limits)
+    : limits_(limits) {
+  Take();
+}
+
+Http1RequestReader::~Http1RequestReader() = default;
+
+Http1Progress Http1RequestReader::Read(std::string_view bytes) {
+  const Http1Progress progress = Feed(parser_->parser_, bytes);
+  // Beast consumes nothing of a header that is not whole yet.
+  if (!bytes.empty()) parser_->started_ = true;
+  return progress;
+}
+
+bool Http1RequestReader::started() const { return parser_->started_; }
+
+bool Http1RequestReader::header_complete() const {
+  return parser_->parser_.is_header_done();
+}
+
+bool Http1RequestReader::expects_continue() const {
+  if (!header_complete()) return false;
+  return boost::beast::iequals(parser_->parser_.get()[http::field::expect],
+                               "100-continue");
+}
+
+Http1Request Http1RequestReader::Take() {
+  Http1Request request;
+  if (parser_ && parser_->parser_.is_done()) {
+    request.keep_alive_ = parser_->parser_.keep_alive();
+    auto message = parser_->parser_.release();
+    request.method_ = std::string(message.method_string());
+    request.target_ = std::string(message.target());
+    request.headers_ = HeadersOf(message.base());
+    request.body_ = std::move(message.body());
+  }
+  parser_ = std::make_unique<Parser>();
+  parser_->parser_.eager(true);
+  parser_->parser_.header_limit(limits_.max_header_bytes_);
+  parser_->parser_.body_limit(limits_.max_body_bytes_);
+  return request;
+}
+
+struct Http1ResponseReader::Parser {
+  http::response_parser<http::string_body> parser_;
+  bool started_ = false;
+};
+
+Http1ResponseReader::Http1ResponseReader(const Http1Limits& limits,
+                                         bool answers_head)
+    : limits_(limits), answers_head_(answers_head) {
+  Take();
+}
+
+Http1ResponseReader::~Http1ResponseReader() = default;
+
+Http1Progress Http1ResponseReader::Read(std::string_view bytes) {
+  Http1Progress progress = Feed(parser_->parser_, bytes);
+  if (!bytes.empty()) parser_->started_ = true;
+  // Interim responses (1xx) precede the one that counts.
+  while (progress.complete_ && parser_->parser_.get().result_int() < 200) {
+    Take();
+    const auto rest = bytes.substr(progress.consumed_);
+    const Http1Progress next = Feed(parser_->parser_, rest);
+    if (!rest.empty()) parser_->started_ = true;
+    progress = {.consumed_ = progress.consumed_ + next.consumed_,
+                .complete_ = next.complete_,
+                .fault_ = next.fault_};
+  }
+  return progress;
+}
+
+Http1Progress Http1ResponseReader::ReadEnd() {
+  Http1Progress progress;
+  if (!parser_->parser_.is_header_done()) {
+    progress.fault_ = Http1Fault::kCutOff;
+    return progress;
+  }
+  boost::beast::error_code error;
+  parser_->parser_.put_eof(error);
+  if (error) progress.fault_ = FaultOf(error);
+  progress.complete_ = !error && parser_->parser_.is_done();
+  return progress;
+}
+
+bool Http1ResponseReader::started() const { return parser_->started_; }
+
+Http1Response Http1ResponseReader::Take() {
+  Http1Response response;
+  if (parser_ && parser_->parser_.is_done()) {
+    response.keep_alive_ = parser_->parser_.keep_alive();
+    auto message = parser_->parser_.release();
+    response.status_ = static_cast<int>(message.result_int());
+    response.headers_ = HeadersOf(message.base());
+    response.body_ = std::move(message.body());
+  }
+  parser_ = std::make_unique<Parser>();
+  parser_->parser_.eager(true);
+  parser_->parser_.skip(answers_head_);
+  parser_->parser_.header_limit(limits_.max_header_bytes_);
+  parser_->parser_.body_limit(limits_.max_body_bytes_);
+  return response;
+}
+
+std::string WriteRequest(const Http1Request& request) {
+  http::request<http::empty_body> message;
+  message.version(11);
+  message.method_string(request.method_);
+  message.target(request.target_);
+  for (const auto& [name, value] : request.headers_) {
+    message.insert(name, value);
+  }
+  const bool with_body = !request.body_.empty() || request.method_ == "POST" ||
+                         request.method_ == "PUT" || request.method_ == "PATCH";
+  if (with_body) {
+    message.set(http::field::content_length,
+                std::to_string(request.body_.size()));
+  }
+  return Serialize(message, request.body_, with_body);
+}
+
+std::string WriteResponse(const Http1Response& response, bool answers_head) {
+  http::response<http::empty_body> message;
+  message.version(11);
+  message.result(static_cast<unsigned>(response.status_));
+  for (const auto& [name, value] : response.headers_) {
+    message.insert(name, value);
+  }
+  if (!response.keep_alive_) message.set(http::field::connection, "close");
+  const bool no_body = ResponseHasNoBody(response.status_);
+  if (!no_body && !answers_head) {
+    message.set(http::field::content_length,
+                std::to_string(response.body_.size()));
+  }
+  return Serialize(message, response.body_, !no_body && !answers_head);
+}
+
+void RemoveConnectionHeaders(HeaderList& headers) {
+  static const std::array<std::string_view, 9> kConnectionHeaders = {
+      "connection", "keep-alive", "proxy-connection",
+      "te",         "trailer",    "transfer-encoding",
+      "upgrade",    "expect",     "content-length"};
+  std::vector<std::string> named;
+  for (const auto& [name, value] : headers) {
+    if (!SameHeaderName(name, "connection")) continue;
+    for (const auto token : http::token_list(value)) {
+      named.emplace_back(token);
+    }
+  }
+  std::erase_if(headers, [&](const auto& header) {
+    const auto matches = [&](std::string_view name) {
+      return SameHeaderName(header.first, name);
+    };
+    return std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
+                       matches) ||
+           std::any_of(named.begin(), named.end(), matches);
+  });
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/http1/http1_server.h
@@ -0,0 +1,84 @@
+#ifndef JUJUBEFRONT_HTTP1_HTTP1_SERVER_H_
+#define JUJUBEFRONT_HTTP1_HTTP1_SERVER_H_
+
+#include <QTimer>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "base/time_types.h"
+#include "http1/http1_codec.h"
+#include "netio/tcp_listener.h"
+
+namespace jujubefront {
+
+// Settings of a server.
+struct Http1ServerOptions {
+  Http1Limits limits_;
+  Duration header_timeout_ = std::chrono::seconds(3);
+  Duration idle_timeout_ = std::chrono::seconds(15);
+  std::size_t max_connections_ = 3000;
+  SilenceOptions silence_;
+};
+
+// HTTP/1.1 server on Qt's event loop: one request at a time on a connection,
+// whole messages, notice of clients that leave.
+class Http1Server : public QObject {
+ public:
+  struct Handlers {
+    // Must lead to one Answer. `remote_ip` is in host byte order.
+    std::function<void(std::uint64_t request_id, Http1Request request,
+                       std::uint32_t remote_ip)>
+        on_request_;
+    // The client left before its request was answered.
+    std::function<void(std::uint64_t request_id)> on_client_gone_;
+  };
+
+  Http1Server(Http1ServerOptions options, Handlers handlers);
+  ~Http1Server() override;
+
+  bool Listen(const std::string& address);
+
+  // Limits for requests that begin from now on.
+  void SetOptions(const Http1ServerOptions& options);
+
+  // Answers a request. Does nothing when the client has gone.
+  void Answer(std::uint64_t request_id, Http1Response response);
+
+  // Ends the connection of a request without a complete answer.
+  void Drop(std::uint64_t request_id);
+
+  // From now on every answer asks the client to close.
+  void StartClosing() { closing_ = true; }
+
+  std::size_t unanswered() const { return requests_.size(); }
+  std::size_t connections() const { return connections_.size(); }
+  // Bytes of answers that clients have not taken yet.
+  std::size_t unsent_bytes() const;
+
+ private:
+  struct Connection;
+
+  void OnConnection(TcpConnection* socket);
+  void OnData(Connection& connection);
+  void OnEnd(Connection& connection);
+  void Refuse(Connection& connection, Http1Fault fault);
+  void Finish(Connection& connection);
+  void CloseStale();
+  void Remove(Connection& connection);
+
+  Http1ServerOptions options_;
+  Handlers handlers_;
+  TcpListener listener_;
+  QTimer sweep_;
+  bool closing_ = false;
+  std::uint64_t last_id_ = 0;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::unordered_map<std::uint64_t, Connection*> requests_;
+};
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_HTTP1_HTTP1_SERVER_H_
--- /dev/null
+++ b/src/netio/tcp_connection.cc
@@ -0,0 +1,240 @@
+#include "netio/tcp_connection.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <QHostAddress>
+#include <array>
+#include <cerrno>
+#include <charconv>
+
+namespace jujubefront {
+namespace {
+
+constexpr std::size_t kReadChunk = 64 * 1024;
+// Consumed bytes are dropped from a buffer once this many have gathered.
+constexpr std::size_t kCompactAt = 64 * 1024;
+
+int Milliseconds(Duration duration) {
+  return static_cast<int>(duration / std::chrono::milliseconds(1));
+}
+
+int Seconds(Duration duration) {
+  return std::max(1, static_cast<int>(duration / std::chrono::seconds(1)));
+}
+
+void SetOption(int descriptor, int level, int name, int value) {
+  setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+void Prepare(int descriptor, const SilenceOptions& silence) {
+  fcntl(descriptor, F_SETFL, fcntl(descriptor, F_GETFL) | O_NONBLOCK);
+  fcntl(descriptor, F_SETFD, FD_CLOEXEC);
+  SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE,
+            Seconds(silence.keep_alive_idle_));
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL,
+            Seconds(silence.keep_alive_interval_));
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, silence.keep_alive_probes_);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            Milliseconds(silence.unacknowledged_));
+}
+
+void DropConsumed(std::string& buffer, std::size_t& start) {
+  if (start == buffer.size()) {
+    buffer.clear();
+    start = 0;
+    // A large message must not keep its memory for the connection's life.
+    if (buffer.capacity() > kCompactAt) buffer.shrink_to_fit();
+  } else if (start >= kCompactAt) {
+    buffer.erase(0, start);
+    start = 0;
+  }
+}
+
+}  // namespace
+
+bool ParseAddress(std::string_view address, std::uint32_t& ip,
+                  std::uint16_t& port) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string_view::npos) return false;
+  const std::string_view digits = address.substr(colon + 1);
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc() || end != digits.data() + digits.size()) {
+    return false;
+  }
+  const std::string host(address.substr(0, colon));
+  in_addr parsed{};
+  if (inet_pton(AF_INET, host.c_str(), &parsed) != 1) return false;
+  ip = ntohl(parsed.s_addr);
+  return true;
+}
+
+TcpConnection* TcpConnection::Adopt(int descriptor,
+                                    const SilenceOptions& silence) {
+  sockaddr_in remote{};
+  socklen_t length = sizeof(remote);
+  getpeername(descriptor, reinterpret_cast<sockaddr*>(&remote), &length);
+  auto* connection = new TcpConnection(descriptor, true, silence);
+  connection->remote_ip_ = ntohl(remote.sin_addr.s_addr);
+  return connection;
+}
+
+TcpConnection* TcpConnection::Open(const std::string& address,
+                                   const SilenceOptions& silence) {
+  sockaddr_in remote{};
+  std::uint32_t ip = 0;
+  std::uint16_t port = 0;
+  if (!ParseAddress(address, ip, port)) return nullptr;
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  if (descriptor < 0) return nullptr;
+  remote.sin_family = AF_INET;
+  remote.sin_addr.s_addr = htonl(ip);
+  remote.sin_port = htons(port);
+  auto* connection = new TcpConnection(descriptor, false, silence);
+  connection->remote_ip_ = ip;
+  const int result = ::connect(
+      descriptor, reinterpret_cast<sockaddr*>(&remote), sizeof(remote));
+  // A refusal at once is reported like a later one, from the event loop.
+  connection->refused_ = result < 0 && errno != EINPROGRESS;
+  connection->write_notifier_.setEnabled(true);
+  connection->read_notifier_.setEnabled(false);
+  return connection;
+}
+
+TcpConnection::TcpConnection(int descriptor, bool connected,
+                             const SilenceOptions& silence)
+    : descriptor_(descriptor),
+      connected_(connected),
+      read_notifier_(descriptor, QSocketNotifier::Read),
+      write_notifier_(descriptor, QSocketNotifier::Write) {
+  Prepare(descriptor, silence);
+  write_notifier_.setEnabled(false);
+  connect(&read_notifier_, &QSocketNotifier::activated, this,
+          [this] { OnReadable(); });
+  connect(&write_notifier_, &QSocketNotifier::activated, this,
+          [this] { OnWritable(); });
+}
+
+TcpConnection::~TcpConnection() {
+  if (descriptor_ >= 0) ::close(descriptor_);
+}
+
+std::string_view TcpConnection::inbox() const {
+  return std::string_view(inbox_).substr(inbox_start_);
+}
+
+void TcpConnection::Consume(std::size_t count) {
+  inbox_start_ += count;
+  DropConsumed(inbox_, inbox_start_);
+}
+
+void TcpConnection::SetReading(bool reading) {
+  if (!ended_ && descriptor_ >= 0) read_notifier_.setEnabled(reading);
+}
+
+void TcpConnection::Write(std::string_view bytes) {
+  if (ended_ || descriptor_ < 0) return;
+  std::size_t sent = 0;
+  if (connected_ && unsent_bytes() == 0) {
+    const ssize_t count =
+        ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    // An error is reported by the read notifier.
+    if (count > 0) sent = static_cast<std::size_t>(count);
+    if (sent == bytes.size()) return;
+  }
+  outbox_.append(bytes.substr(sent));
+  write_notifier_.setEnabled(true);
+}
+
+void TcpConnection::Flush() {
+  while (unsent_bytes() > 0) {
+    const ssize_t count = ::send(descriptor_, outbox_.data() + outbox_start_,
+                                 unsent_bytes(), MSG_NOSIGNAL);
+    if (count < 0) {
+      if (errno == EAGAIN || errno == EINTR) return;
+      return End(ConnectionEnd::kBroken);
+    }
+    outbox_start_ += static_cast<std::size_t>(count);
+  }
+  DropConsumed(outbox_, outbox_start_);
+  write_notifier_.setEnabled(false);
+  if (handlers_.on_flushed_) handlers_.on_flushed_();
+}
+
+void TcpConnection::OnWritable() {
+  if (ended_ || descriptor_ < 0) return;
+  if (!connected_) {
+    int error = 0;
+    socklen_t length = sizeof(error);
+    getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0 || refused_) return End(ConnectionEnd::kBroken);
+    connected_ = true;
+    read_notifier_.setEnabled(true);
+    if (handlers_.on_connected_) handlers_.on_connected_();
+    if (ended_ || descriptor_ < 0) return;
+  }
+  Flush();
+}
+
+void TcpConnection::OnReadable() {
+  if (ended_ || descriptor_ < 0) return;
+  static std::array<char, kReadChunk> chunk;
+  bool received = false;
+  while (true) {
+    const ssize_t count = ::recv(descriptor_, chunk.data(), chunk.size(), 0);
+    if (count > 0) {
+      inbox_.append(chunk.data(), static_cast<std::size_t>(count));
+      received = true;
+      if (static_cast<std::size_t>(count) < chunk.size()) break;
+      continue;
+    }
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) break;
+    const auto end =
+        count == 0 ? ConnectionEnd::kFinished : ConnectionEnd::kBroken;
+    if (received && handlers_.on_data_) handlers_.on_data_();
+    return End(end);
+  }
+  if (received && handlers_.on_data_) handlers_.on_data_();
+}
+
+bool TcpConnection::HasPendingEnd() const {
+  if (ended_ || descriptor_ < 0) return true;
+  char byte = 0;
+  const ssize_t count =
+      ::recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+void TcpConnection::End(ConnectionEnd end) {
+  if (ended_) return;
+  ended_ = true;
+  read_notifier_.setEnabled(false);
+  write_notifier_.setEnabled(false);
+  if (handlers_.on_end_) handlers_.on_end_(end);
+}
+
+void TcpConnection::Close() {
+  if (descriptor_ < 0) return;
+  ended_ = true;
+  read_notifier_.setEnabled(false);
+  write_notifier_.setEnabled(false);
+  ::close(descriptor_);
+  descriptor_ = -1;
+  deleteLater();
+}
+
+void TcpConnection::Abort() {
+  if (descriptor_ < 0) return;
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  Close();
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,56 @@
+#ifndef JUJUBEFRONT_PLACEMENT_PLACEMENT_H_
+#define JUJUBEFRONT_PLACEMENT_PLACEMENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time_types.h"
+
+namespace jujubefront {
+
+// Where a host is, seen from the host that chooses.
+enum class Distance : std::uint8_t { kSameZone, kSameRegion, kOtherRegion };
+
+// A backend server that can take a request, as it is known at present.
+struct Place {
+  std::string host_;
+  Distance distance_ = Distance::kSameZone;
+  std::uint32_t slots_ = 0;
+  double load_ = 0.0;  // runs that hold or wait for a slot
+  Duration hold_ = Duration::zero();  // time of one run, by measurement
+  double failure_share_ = 0.0;        // recent own experience, in [0, 1]
+};
+
+// Settings of placing.
+struct PlacementOptions {
+  // Round trips, and what a crossing costs in bytes, as time.
+  Duration zone_price_ = std::chrono::milliseconds(25);
+  Duration region_price_ = std::chrono::milliseconds(400);
+  // Part of the slots above which a backend server slows down.
+  double crowded_share_ = 0.9;
+};
+
+// What the request needs.
+struct PlacementNeed {
+  Duration latency_objective_ = std::chrono::seconds(1);
+};
+
+// Time until a request placed here is expected to be answered, with the price
+// of the way and the risk of failure, in time.
+Duration ExpectedFinish(const Place& place, const PlacementOptions& options,
+                        const PlacementNeed& need);
+
+// Index of the place with the least expected finish, or nothing when there is
+// none. `draw` in [0, 1) decides between equals.
+std::optional<std::size_t> ChoosePlace(const std::vector<Place>& places,
+                                       const PlacementOptions& options,
+                                       const PlacementNeed& need, double draw);
+
+// Time in which an answer of a run placed here can be expected.
+Duration ExpectedWaitAt(const Place& place);
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_PLACEMENT_PLACEMENT_H_
--- /dev/null
+++ b/src/relay/internal/entry.cc
@@ -0,0 +1,550 @@
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+#include "http1/http1_codec.h"
+#include "placement/placement.h"
+#include "relay/internal/relay_step.h"
+#include "retries/retries.h"
+#include "routes/routes.h"
+
+namespace jujubefront {
+namespace {
+
+// Hold time assumed of a run that nobody has measured yet.
+constexpr Duration kUnknownHold = std::chrono::milliseconds(50);
+constexpr Duration kShortRetryAfter = std::chrono::milliseconds(300);
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
+// Clients honour Retry-After up to this part of the time they have left.
+constexpr int kRetryAfterPart = 3;
+// Time in which own experience of failures halves.
+constexpr double kFailureHalfLifeSeconds = 1.5;
+constexpr double kFailureWeight = 0.25;
+
+Http1Response OwnResponse(int status, Duration retry_after) {
+  Http1Response response{.status_ = status};
+  if (retry_after > Duration::zero()) {
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3f", InSeconds(retry_after));
+    response.headers_.emplace_back("Retry-After", text);
+  }
+  return response;
+}
+
+// When a refused client shall come back: spread over the time in which an
+// answer is still of use, so that the refused do not return together.
+Duration RetryAfterFor(RelayStep& step, const OpenRequest& request) {
+  const Duration left = request.deadline_ - step.now_;
+  const Duration most =
+      std::max(kLeastRetryAfter, std::min(left / kRetryAfterPart,
+                                          (request.objective_at_ - step.now_) / 2));
+  const double unit = NextUnit(step.state_.random_);
+  return kLeastRetryAfter +
+         Duration(static_cast<std::int64_t>(
+             static_cast<double>((most - kLeastRetryAfter).count()) * unit));
+}
+
+void NoteParent(RelayStep& step, const OpenRequest& request, bool failed) {
+  if (request.parent_run_ == 0) return;
+  const auto parent = step.state_.runs_.find(request.parent_run_);
+  if (parent != step.state_.runs_.end() && failed) {
+    parent->second.calls_failed_ = true;
+  }
+}
+
+// Answers a request and forgets it; `request` is invalid afterwards.
+void Finish(RelayStep& step, OpenRequest& request, Http1Response response,
+            bool own) {
+  NoteParent(step, request, response.status_ >= 500);
+  step.effects_.emplace_back(
+      AnswerRequest{.request_id_ = request.request_id_,
+                    .response_ = std::move(response),
+                    .trace_id_ = request.trace_id_,
+                    .own_ = own,
+                    .route_ = request.route_,
+                    .elapsed_ = step.now_ - request.arrived_});
+  step.state_.timers_.erase({request.deadline_,
+                             RelayTimerKind::kRequestDeadline,
+                             request.request_id_});
+  step.state_.requests_.erase(request.request_id_);
+}
+
+void LogOutcome(RelayStep& step, DecisionKind kind, const OpenRequest& request,
+                int status, std::string_view why) {
+  step.effects_.emplace_back(Decision{
+      .kind_ = kind,
+      .trace_id_ = request.trace_id_,
+      .inputs_ = {{"route", request.route_},
+                  {"status", std::int64_t{status}},
+                  {"why", std::string(why)},
+                  {"sends", std::int64_t{request.tries_}},
+                  {"elapsed_us", (step.now_ - request.arrived_).count()},
+                  {"left_us", (request.deadline_ - step.now_).count()},
+                  {"table", static_cast<std::int64_t>(
+                                step.state_.table_.version_)}}});
+}
+
+void Refuse(RelayStep& step, OpenRequest& request, std::string_view why) {
+  ++step.state_.counters_.refused_;
+  LogOutcome(step, DecisionKind::kRefused, request, 503, why);
+  Finish(step, request, OwnResponse(503, RetryAfterFor(step, request)), true);
+}
+
+void Fail(RelayStep& step, OpenRequest& request, int status,
+          std::string_view why) {
+  ++(status == 504 ? step.state_.counters_.timed_out_
+                   : step.state_.counters_.failed_);
+  LogOutcome(step, DecisionKind::kFailed, request, status, why);
+  Finish(step, request, OwnResponse(status, Duration::zero()), true);
+}
+
+// Answer when no backend server is left to try. "Not run" is said only where
+// no backend server can have run the request.
+void GiveUp(RelayStep& step, OpenRequest& request, std::string_view why) {
+  if (request.may_have_run_) return Fail(step, request, 502, why);
+  Refuse(step, request, why);
+}
+
+void AnswerUnrouted(RelayStep& step, const RequestArrived& arrived, int status,
+                    Duration retry_after, std::string_view why) {
+  ++step.state_.counters_.unrouted_;
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kRefused,
+      .trace_id_ = arrived.trace_id_,
+      .inputs_ = {{"host", arrived.host_},
+                  {"status", std::int64_t{status}},
+                  {"why", std::string(why)},
+                  {"table", static_cast<std::int64_t>(
+                                step.state_.table_.version_)}}});
+  step.effects_.emplace_back(
+      AnswerRequest{.request_id_ = arrived.request_id_,
+                    .response_ = OwnResponse(status, retry_after),
+                    .trace_id_ = arrived.trace_id_,
+                    .own_ = true});
+}
+
+double FailureShare(const Experience& experience, Timestamp now) {
+  const double age = InSeconds(now - experience.noted_at_);
+  if (experience.failure_share_ <= 0.0) return 0.0;
+  return experience.failure_share_ *
+         std::exp2(-age / kFailureHalfLifeSeconds);
+}
+
+void NoteExperience(RelayStep& step, Peer& peer, bool failed) {
+  const double now_share = FailureShare(peer.experience_, step.now_);
+  peer.experience_ = {
+      .failure_share_ = now_share * (1.0 - kFailureWeight) +
+                        (failed ? kFailureWeight : 0.0),
+      .noted_at_ = step.now_};
+}
+
+Duration HoldAt(const Peer& peer, const std::string& route) {
+  const auto own = peer.holds_.find(route);
+  if (own != peer.holds_.end()) return own->second;
+  for (const RouteProfile& profile : peer.status_.profiles_) {
+    if (profile.route_ == route && profile.runs_ > 0) {
+      return Duration(static_cast<std::int64_t>(profile.slot_seconds_ * 1e6));
+    }
+  }
+  return kUnknownHold;
+}
+
+bool TakesRuns(const RelayStep& step, const Peer& peer,
+               const OpenRequest& request) {
+  const HostStatus& status = peer.status_;
+  if (status.service_ != request.service_ || status.leaving_) return false;
+  if (status.backend_ != BackendState::kReady) return false;
+  const bool own = peer.address_ == step.options_.address_;
+  if (!own && (!peer.connected_ || peer.suspected_)) return false;
+  return std::find(request.tried_.begin(), request.tried_.end(),
+                   peer.address_) == request.tried_.end();
+}
+
+std::vector<Place> PlacesFor(RelayStep& step, const OpenRequest& request) {
+  std::vector<Place> places;
+  for (const auto& [address, peer] : step.state_.peers_) {
+    if (!TakesRuns(step, peer, request)) continue;
+    const HostStatus& status = peer.status_;
+    const auto reported =
+        static_cast<double>(status.running_ + status.waiting_);
+    places.push_back(
+        {.host_ = address,
+         .distance_ = DistanceTo(step.options_, status),
+         .slots_ = status.slots_,
+         .load_ = std::max<double>(reported, peer.in_flight_) +
+                  peer.sent_since_,
+         .hold_ = HoldAt(peer, request.route_),
+         .failure_share_ = FailureShare(peer.experience_, step.now_)});
+  }
+  return places;
+}
+
+RunOrder MakeOrder(RelayStep& step, const OpenRequest& request,
+                   const Peer& peer) {
+  return {.send_id_ = request.send_id_,
+          .instance_ = peer.status_.instance_,
+          .route_ = request.route_,
+          .caller_service_ = step.options_.service_,
+          .priority_ = request.priority_,
+          .is_call_ = request.is_call_,
+          .idempotent_ = request.idempotent_,
+          .remaining_ = request.deadline_ - step.now_,
+          .objective_left_ = request.objective_at_ - step.now_,
+          .content_ = request.content_,
+          .request_ = request.request_};
+}
+
+void CountCrossing(RelayStep& step, const Peer& peer) {
+  switch (DistanceTo(step.options_, peer.status_)) {
+    case Distance::kSameZone:
+      break;
+    case Distance::kSameRegion:
+      ++step.state_.counters_.zone_crossings_;
+      break;
+    case Distance::kOtherRegion:
+      ++step.state_.counters_.region_crossings_;
+      break;
+  }
+}
+
+void SendTo(RelayStep& step, OpenRequest& request, Peer& peer) {
+  request.send_id_ = NewId(step);
+  ++request.sends_;
+  ++request.tries_;
+  request.tried_.push_back(peer.address_);
+  step.state_.sends_[request.send_id_] = {.request_id_ = request.request_id_,
+                                          .peer_ = peer.address_,
+                                          .route_ = request.route_,
+                                          .sent_at_ = step.now_};
+  ++peer.in_flight_;
+  ++peer.sent_since_;
+  ++step.state_.counters_.sends_;
+  CountCrossing(step, peer);
+  RunOrder order = MakeOrder(step, request, peer);
+  if (peer.address_ == step.options_.address_) {
+    OnRunOrder(step, 0, order);
+  } else {
+    step.effects_.emplace_back(
+        SendToPeer{.peer_ = peer.address_, .message_ = std::move(order)});
+  }
+}
+
+// Sends to the best place left, or gives up.
+void SendOrGiveUp(RelayStep& step, OpenRequest& request,
+                  std::string_view otherwise) {
+  if (request.deadline_ <= step.now_) {
+    if (request.may_have_run_) return Fail(step, request, 504, "time is up");
+    return Refuse(step, request, "time is up");
+  }
+  const std::vector<Place> places = PlacesFor(step, request);
+  const auto chosen = ChoosePlace(
+      places, step.options_.placement_,
+      {.latency_objective_ = request.objective_}, NextUnit(step.state_.random_));
+  if (!chosen) return GiveUp(step, request, otherwise);
+  SendTo(step, request, step.state_.peers_.at(places[*chosen].host_));
+}
+
+// Whether another backend server may get the request, by attempts, kind and
+// the retry budget of the service.
+bool MaySendAgain(RelayStep& step, OpenRequest& request) {
+  if (request.sends_ == 0) return true;
+  if (request.may_have_run_ && !request.idempotent_) return false;
+  if (request.sends_ >= request.max_attempts_) return false;
+  std::uint32_t credit = 1;
+  const bool granted =
+      SpendRetry(step.state_.retry_budgets_[request.service_],
+                 step.options_.retries_, credit, request.sends_);
+  ++(granted ? step.state_.counters_.resends_
+             : step.state_.counters_.resends_denied_);
+  return granted;
+}
+
+void TryElsewhere(RelayStep& step, OpenRequest& request,
+                  std::string_view otherwise) {
+  if (!MaySendAgain(step, request)) return GiveUp(step, request, otherwise);
+  SendOrGiveUp(step, request, otherwise);
+}
+
+void NoteLoad(Peer& peer, const RunReply& reply, const OpenSend& send) {
+  peer.status_.running_ = reply.running_;
+  peer.status_.waiting_ = reply.waiting_;
+  peer.sent_since_ = 0;
+  if (reply.outcome_ != RunOutcome::kAnswered) return;
+  Duration& hold = peer.holds_[send.route_];
+  hold = hold == Duration::zero() ? reply.hold_
+                                  : (hold * 7 + reply.hold_) / 8;
+}
+
+bool IsFailure(const RunReply& reply) {
+  switch (reply.outcome_) {
+    case RunOutcome::kAnswered:
+      return reply.response_.status_ >= 500 && !reply.calls_failed_;
+    case RunOutcome::kNotRun:
+      return reply.reason_ == NotRunReason::kRejected ||
+             reply.reason_ == NotRunReason::kUnreachable;
+    case RunOutcome::kBroken:
+      return true;
+    case RunOutcome::kTimedOut:
+      return !reply.calls_failed_;
+  }
+  return false;
+}
+
+std::string_view ReasonText(NotRunReason reason) {
+  switch (reason) {
+    case NotRunReason::kNone:
+      return "not run";
+    case NotRunReason::kOverloaded:
+      return "no slot in time";
+    case NotRunReason::kExpired:
+      return "waited too long for a slot";
+    case NotRunReason::kOtherInstance:
+      return "backend server was replaced";
+    case NotRunReason::kDraining:
+      return "backend server is draining";
+    case NotRunReason::kUnreachable:
+      return "backend server is unreachable";
+    case NotRunReason::kRejected:
+      return "rejected by the backend server";
+    case NotRunReason::kStopping:
+      return "node is stopping";
+    case NotRunReason::kCrashSuspect:
+      return "content crashed backend servers";
+  }
+  return "not run";
+}
+
+void OnNotRun(RelayStep& step, OpenRequest& request, NotRunReason reason) {
+  // Only a rejection by the backend server counts as an arrival there.
+  if (reason != NotRunReason::kRejected && request.sends_ > 0) {
+    --request.sends_;
+  }
+  if (reason == NotRunReason::kCrashSuspect) {
+    return GiveUp(step, request, ReasonText(reason));
+  }
+  TryElsewhere(step, request, ReasonText(reason));
+}
+
+void OnAnswered(RelayStep& step, OpenRequest& request, RunReply& reply) {
+  request.may_have_run_ = true;
+  const bool retry = reply.response_.status_ >= 500 && request.idempotent_ &&
+                     !reply.calls_failed_ && MaySendAgain(step, request);
+  if (retry && !PlacesFor(step, request).empty() &&
+      request.deadline_ > step.now_) {
+    return SendOrGiveUp(step, request, "backend server failed");
+  }
+  ++step.state_.counters_.answered_;
+  if (reply.response_.status_ >= 500) {
+    LogOutcome(step, DecisionKind::kFailed, request, reply.response_.status_,
+               reply.calls_failed_ ? "a call of the run failed"
+                                   : "answer of the backend server");
+  } else {
+    LogOutcome(step, DecisionKind::kAnswered, request,
+               reply.response_.status_, "answer of the backend server");
+  }
+  Finish(step, request, std::move(reply.response_), false);
+}
+
+std::uint64_t ContentOf(const RequestArrived& arrived,
+                        const std::string& caller) {
+  return HashBytes(arrived.request_.body_,
+                   HashBytes(arrived.request_.target_, HashBytes(caller)));
+}
+
+OpenRequest MakeRequest(RelayStep& step, RequestArrived& arrived,
+                        const RouteRule& route) {
+  const Duration remaining = arrived.remaining_.value_or(route.timeout_);
+  OpenRequest request;
+  request.request_id_ = arrived.request_id_;
+  request.trace_id_ = std::move(arrived.trace_id_);
+  request.route_ = route.name_;
+  request.idempotent_ = route.idempotent_;
+  request.priority_ = route.priority_;
+  request.max_attempts_ = std::max(1U, route.max_attempts_);
+  request.arrived_ = step.now_;
+  request.deadline_ = step.now_ + std::min(remaining, route.timeout_);
+  request.objective_ = route.latency_objective_;
+  request.content_ = ContentOf(arrived, step.options_.service_);
+  request.parent_run_ = FindParentRun(step, step.now_ + remaining);
+  request.is_call_ = request.parent_run_ != 0;
+  request.service_ =
+      PickService(route, NextUnit(step.state_.random_));
+  request.request_ = std::move(arrived.request_);
+  RemoveConnectionHeaders(request.request_.headers_);
+  request.objective_at_ = step.now_ + route.latency_objective_;
+  if (request.is_call_) return request;
+  CountDemand(step, route, remaining);
+  const Duration usual = step.state_.demands_[route.name_].usual_deadline_;
+  request.objective_at_ -= std::max(Duration::zero(), usual - remaining);
+  return request;
+}
+
+bool IsAdmitted(RelayStep& step, const OpenRequest& request) {
+  if (request.is_call_) return true;
+  const auto fraction = step.state_.admitted_.find(request.route_);
+  if (fraction == step.state_.admitted_.end()) return true;
+  return NextUnit(step.state_.random_) < fraction->second;
+}
+
+void CountCall(RelayStep& step, const OpenRequest& request) {
+  ++step.state_.counters_.calls_;
+  const auto parent = step.state_.runs_.find(request.parent_run_);
+  if (parent == step.state_.runs_.end()) return;
+  ++parent->second.calls_[request.route_];
+  // A call is as important as the request that it serves.
+}
+
+}  // namespace
+
+void OnRequest(RelayStep& step, RequestArrived& arrived) {
+  ++step.state_.counters_.requests_;
+  const RelayState& state = step.state_;
+  if (state.table_.version_ == 0) {
+    return AnswerUnrouted(step, arrived, 503, kShortRetryAfter,
+                          "no routing document yet");
+  }
+  const RouteRule* route =
+      FindRoute(state.table_, arrived.host_, arrived.request_.target_);
+  if (route == nullptr) {
+    return AnswerUnrouted(step, arrived, 404, Duration::zero(), "no route");
+  }
+  const std::uint64_t id = arrived.request_id_;
+  OpenRequest& request = step.state_.requests_[id] =
+      MakeRequest(step, arrived, *route);
+  Arm(step, request.deadline_, RelayTimerKind::kRequestDeadline, id);
+  if (request.is_call_) {
+    CountCall(step, request);
+    const auto parent = step.state_.runs_.find(request.parent_run_);
+    if (parent != step.state_.runs_.end()) {
+      request.priority_ = parent->second.order_.priority_;
+    }
+  }
+  if (state.condemned_.contains(request.content_)) {
+    return Refuse(step, request, ReasonText(NotRunReason::kCrashSuspect));
+  }
+  if (!IsAdmitted(step, request)) {
+    ++step.state_.counters_.refused_at_entry_;
+    return Refuse(step, request, "not admitted under load");
+  }
+  EarnRetry(step.state_.retry_budgets_[request.service_],
+            step.options_.retries_);
+  SendOrGiveUp(step, request, "no backend server");
+}
+
+void OnRequesterGone(RelayStep& step, std::uint64_t request_id) {
+  const auto found = step.state_.requests_.find(request_id);
+  if (found == step.state_.requests_.end()) return;
+  OpenRequest& request = found->second;
+  ++step.state_.counters_.cancelled_;
+  const auto send = step.state_.sends_.find(request.send_id_);
+  if (send != step.state_.sends_.end()) {
+    if (send->second.peer_ == step.options_.address_) {
+      OnRunCancel(step, 0, request.send_id_);
+    } else {
+      step.effects_.emplace_back(
+          SendToPeer{.peer_ = send->second.peer_,
+                     .message_ = RunCancel{.send_id_ = request.send_id_}});
+    }
+  }
+  step.state_.timers_.erase(
+      {request.deadline_, RelayTimerKind::kRequestDeadline, request_id});
+  step.state_.requests_.erase(found);
+}
+
+void OnRequestDeadline(RelayStep& step, std::uint64_t request_id) {
+  const auto found = step.state_.requests_.find(request_id);
+  if (found == step.state_.requests_.end()) return;
+  OpenRequest& request = found->second;
+  const auto send = step.state_.sends_.find(request.send_id_);
+  if (send != step.state_.sends_.end()) {
+    if (send->second.peer_ == step.options_.address_) {
+      OnRunCancel(step, 0, request.send_id_);
+    } else {
+      step.effects_.emplace_back(
+          SendToPeer{.peer_ = send->second.peer_,
+                     .message_ = RunCancel{.send_id_ = request.send_id_}});
+    }
+  }
+  Fail(step, request, 504, "time is up");
+}
+
+void OnRunReply(RelayStep& step, RunReply& reply) {
+  const auto found = step.state_.sends_.find(reply.send_id_);
+  if (found == step.state_.sends_.end()) {
+    ++step.state_.counters_.late_replies_;
+    return;
+  }
+  const OpenSend send = found->second;
+  step.state_.sends_.erase(found);
+  Peer& peer = EnsurePeer(step, send.peer_);
+  if (peer.in_flight_ > 0) --peer.in_flight_;
+  NoteLoad(peer, reply, send);
+  NoteExperience(step, peer, IsFailure(reply));
+  const auto open = step.state_.requests_.find(send.request_id_);
+  // Only the reply to the present send decides: an earlier one was given up.
+  if (open == step.state_.requests_.end() ||
+      open->second.send_id_ != reply.send_id_) {
+    ++step.state_.counters_.late_replies_;
+    return;
+  }
+  OpenRequest& request = open->second;
+  request.send_id_ = 0;
+  switch (reply.outcome_) {
+    case RunOutcome::kAnswered:
+      return OnAnswered(step, request, reply);
+    case RunOutcome::kNotRun:
+      return OnNotRun(step, request, reply.reason_);
+    case RunOutcome::kBroken:
+      request.may_have_run_ = true;
+      return TryElsewhere(step, request, "answer was lost or spoilt");
+    case RunOutcome::kTimedOut:
+      request.may_have_run_ = true;
+      return Fail(step, request, 504, "backend server ran out of time");
+  }
+}
+
+void OnPeerSuspected(RelayStep& step, Peer& peer) {
+  std::vector<std::uint64_t> silent;
+  for (const auto& [send_id, send] : step.state_.sends_) {
+    if (send.peer_ == peer.address_) silent.push_back(send_id);
+  }
+  std::sort(silent.begin(), silent.end());
+  for (const std::uint64_t send_id : silent) {
+    const auto open =
+        step.state_.requests_.find(step.state_.sends_.at(send_id).request_id_);
+    if (open == step.state_.requests_.end()) continue;
+    OpenRequest& request = open->second;
+    if (!request.idempotent_ || request.send_id_ != send_id) continue;
+    if (PlacesFor(step, request).empty()) continue;
+    step.effects_.emplace_back(
+        SendToPeer{.peer_ = peer.address_,
+                   .message_ = RunCancel{.send_id_ = send_id}});
+    request.send_id_ = 0;
+    request.may_have_run_ = true;
+    TryElsewhere(step, request, "host does not answer");
+  }
+}
+
+void OnPeerLost(RelayStep& step, Peer& peer) {
+  std::vector<std::uint64_t> lost;
+  for (const auto& [send_id, send] : step.state_.sends_) {
+    if (send.peer_ == peer.address_) lost.push_back(send_id);
+  }
+  std::sort(lost.begin(), lost.end());
+  for (const std::uint64_t send_id : lost) {
+    const auto found = step.state_.sends_.find(send_id);
+    if (found == step.state_.sends_.end()) continue;
+    const std::uint64_t request_id = found->second.request_id_;
+    step.state_.sends_.erase(found);
+    if (peer.in_flight_ > 0) --peer.in_flight_;
+    const auto open = step.state_.requests_.find(request_id);
+    if (open == step.state_.requests_.end()) continue;
+    if (open->second.send_id_ != send_id) continue;
+    open->second.send_id_ = 0;
+    // The order may have reached the peer and may still be started there.
+    open->second.may_have_run_ = true;
+    TryElsewhere(step, open->second, "connection to the host was lost");
+  }
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relay/internal/host_runs.cc
@@ -0,0 +1,314 @@
+#include <algorithm>
+#include <cmath>
+
+#include "http1/http1_codec.h"
+#include "relay/internal/relay_step.h"
+
+namespace jujubefront {
+namespace {
+
+// A call shares its parent's deadline but for the way to and from the backend
+// server and the rounding to milliseconds.
+constexpr Duration kParentDeadlineTolerance = std::chrono::milliseconds(3);
+// Part of the latency objective for which a root request may wait.
+constexpr int kWaitPart = 8;
+constexpr Duration kLeastWait = std::chrono::milliseconds(20);
+constexpr Duration kSweepInterval = std::chrono::milliseconds(20);
+constexpr double kStatsWeight = 0.05;
+// Hold time assumed while nothing was measured.
+constexpr Duration kUnknownHold = std::chrono::milliseconds(50);
+
+Duration MeanHold(const RelayState& state) {
+  double runs = 0.0;
+  double seconds = 0.0;
+  for (const auto& [route, stats] : state.run_stats_) {
+    runs += stats.runs_;
+    seconds += stats.runs_ * stats.hold_seconds_;
+  }
+  if (runs <= 0.0) return kUnknownHold;
+  return Duration(static_cast<std::int64_t>(seconds / runs * 1e6));
+}
+
+SlotUse UseOf(const RelayState& state) {
+  return {.slots_ = state.backend_.slots_,
+          .running_ = state.running_,
+          .mean_hold_ = MeanHold(state)};
+}
+
+void Reply(RelayStep& step, const OpenRun& run, RunReply reply) {
+  reply.send_id_ = run.order_.send_id_;
+  reply.running_ = step.state_.running_;
+  reply.waiting_ = static_cast<std::uint32_t>(step.state_.waiting_.runs_.size());
+  reply.calls_failed_ = run.calls_failed_;
+  if (run.connection_id_ == 0) {
+    step.state_.own_replies_.push_back(std::move(reply));
+  } else {
+    step.effects_.emplace_back(SendBack{.connection_id_ = run.connection_id_,
+                                        .message_ = std::move(reply)});
+  }
+}
+
+// Forgets a run; `run` is invalid afterwards.
+void Erase(RelayStep& step, OpenRun& run) {
+  step.state_.timers_.erase(
+      {run.deadline_, RelayTimerKind::kRunDeadline, run.run_id_});
+  step.state_.run_of_send_.erase({run.connection_id_, run.order_.send_id_});
+  step.state_.runs_.erase(run.run_id_);
+}
+
+void ReplyNotRun(RelayStep& step, OpenRun& run, NotRunReason reason) {
+  ++step.state_.counters_.runs_refused_;
+  Reply(step, run, {.outcome_ = RunOutcome::kNotRun, .reason_ = reason});
+  Erase(step, run);
+}
+
+void NoteRun(RelayStep& step, const OpenRun& run) {
+  RunStats& stats = step.state_.run_stats_[run.order_.route_];
+  const double hold = InSeconds(step.now_ - run.started_at_);
+  // The first runs count fully, so that the average starts where they are.
+  stats.runs_ = std::min(stats.runs_ + 1.0, 1.0 / kStatsWeight);
+  const double weight = 1.0 / stats.runs_;
+  stats.hold_seconds_ += weight * (hold - stats.hold_seconds_);
+  for (auto& [route, mean] : stats.calls_) {
+    const auto made = run.calls_.find(route);
+    const double count = made == run.calls_.end() ? 0.0 : made->second;
+    mean += weight * (count - mean);
+  }
+  for (const auto& [route, count] : run.calls_) {
+    if (!stats.calls_.contains(route)) stats.calls_[route] = weight * count;
+  }
+}
+
+void ReleaseSlot(RelayStep& step, OpenRun& run) {
+  if (!run.started_) return;
+  run.started_ = false;
+  if (step.state_.running_ > 0) --step.state_.running_;
+}
+
+void Start(RelayStep& step, OpenRun& run) {
+  run.started_ = true;
+  run.started_at_ = step.now_;
+  ++step.state_.running_;
+  ++step.state_.counters_.runs_;
+  step.effects_.emplace_back(
+      StartRun{.run_id_ = run.run_id_,
+               .address_ = step.options_.backend_address_,
+               .instance_ = run.order_.instance_,
+               .caller_service_ = run.order_.caller_service_,
+               .remaining_ = run.deadline_ - step.now_,
+               .request_ = std::move(run.order_.request_)});
+}
+
+bool CanRun(const RelayState& state) {
+  return state.backend_.state_ == BackendState::kReady;
+}
+
+NotRunReason CheckOrder(const RelayStep& step, const RunOrder& order) {
+  const RelayState& state = step.state_;
+  if (state.condemned_.contains(order.content_)) {
+    return NotRunReason::kCrashSuspect;
+  }
+  if (state.backend_.state_ == BackendState::kDraining ||
+      state.backend_.state_ == BackendState::kGone) {
+    return NotRunReason::kDraining;
+  }
+  if (!CanRun(state)) return NotRunReason::kUnreachable;
+  if (order.instance_ != state.backend_.instance_) {
+    return NotRunReason::kOtherInstance;
+  }
+  if (order.remaining_ <= Duration::zero()) return NotRunReason::kExpired;
+  return NotRunReason::kNone;
+}
+
+// Latest time at which a start is still of use.
+Timestamp StartBy(const RelayStep& step, const RunOrder& order) {
+  if (order.is_call_) return step.now_ + order.remaining_ * 3 / 4;
+  const Duration wait =
+      std::max(kLeastWait, order.objective_left_ / kWaitPart);
+  return step.now_ + std::min(wait, order.remaining_ / 2);
+}
+
+void CountCrash(RelayStep& step, const OpenRun& run) {
+  const std::uint32_t crashes = ++step.state_.crashes_[run.order_.content_];
+  step.effects_.emplace_back(
+      Decision{.kind_ = DecisionKind::kRunBroken,
+               .trace_id_ = {},
+               .inputs_ = {{"route", run.order_.route_},
+                           {"content", static_cast<std::int64_t>(
+                                           run.order_.content_)},
+                           {"breaks", std::int64_t{crashes}}}});
+}
+
+}  // namespace
+
+std::uint64_t FindParentRun(const RelayStep& step, Timestamp deadline) {
+  std::uint64_t parent = 0;
+  Duration nearest = kParentDeadlineTolerance;
+  for (const auto& [run_id, run] : step.state_.runs_) {
+    if (!run.started_) continue;
+    const Duration distance = std::chrono::abs(run.deadline_ - deadline);
+    if (distance > nearest) continue;
+    nearest = distance;
+    parent = run_id;
+  }
+  return parent;
+}
+
+void OnRunOrder(RelayStep& step, std::uint64_t connection_id,
+                RunOrder& order) {
+  const std::uint64_t run_id = NewId(step);
+  OpenRun& run = step.state_.runs_[run_id];
+  run.run_id_ = run_id;
+  run.connection_id_ = connection_id;
+  run.order_ = std::move(order);
+  run.arrived_ = step.now_;
+  run.deadline_ = step.now_ + run.order_.remaining_;
+  step.state_.run_of_send_[{connection_id, run.order_.send_id_}] = run_id;
+  const NotRunReason reason = CheckOrder(step, run.order_);
+  if (reason != NotRunReason::kNone) return ReplyNotRun(step, run, reason);
+  Arm(step, run.deadline_, RelayTimerKind::kRunDeadline, run_id);
+  const WaitingRun waiting{.run_id_ = run_id,
+                           .is_call_ = run.order_.is_call_,
+                           .priority_ = run.order_.priority_,
+                           .arrived_ = step.now_,
+                           .start_by_ = StartBy(step, run.order_)};
+  if (!Enqueue(step.state_.waiting_, UseOf(step.state_), step.now_, waiting)) {
+    return ReplyNotRun(step, run, NotRunReason::kOverloaded);
+  }
+  StartWaiting(step);
+  if (!step.state_.waiting_.runs_.empty()) {
+    Arm(step, step.now_ + kSweepInterval, RelayTimerKind::kWaitingSweep);
+  }
+}
+
+void StartWaiting(RelayStep& step) {
+  RelayState& state = step.state_;
+  while (state.running_ < state.backend_.slots_ && CanRun(state)) {
+    const auto next = TakeNext(state.waiting_);
+    if (!next) return;
+    OpenRun& run = state.runs_.at(next->run_id_);
+    if (run.deadline_ <= step.now_) {
+      ReplyNotRun(step, run, NotRunReason::kExpired);
+      continue;
+    }
+    if (run.order_.instance_ != state.backend_.instance_) {
+      ReplyNotRun(step, run, NotRunReason::kOtherInstance);
+      continue;
+    }
+    Start(step, run);
+  }
+}
+
+void RefuseWaiting(RelayStep& step, NotRunReason reason) {
+  while (const auto next = TakeNext(step.state_.waiting_)) {
+    ReplyNotRun(step, step.state_.runs_.at(next->run_id_), reason);
+  }
+}
+
+void SweepWaiting(RelayStep& step) {
+  for (const std::uint64_t run_id :
+       TakeExpired(step.state_.waiting_, step.now_)) {
+    ReplyNotRun(step, step.state_.runs_.at(run_id), NotRunReason::kExpired);
+  }
+  if (!step.state_.waiting_.runs_.empty()) {
+    Arm(step, step.now_ + kSweepInterval, RelayTimerKind::kWaitingSweep);
+  }
+}
+
+void OnRunCancel(RelayStep& step, std::uint64_t connection_id,
+                 std::uint64_t send_id) {
+  const auto found = step.state_.run_of_send_.find({connection_id, send_id});
+  if (found == step.state_.run_of_send_.end()) return;
+  OpenRun& run = step.state_.runs_.at(found->second);
+  if (!run.started_) {
+    RemoveWaiting(step.state_.waiting_, run.run_id_);
+    Reply(step, run, {.outcome_ = RunOutcome::kNotRun,
+                      .reason_ = NotRunReason::kExpired});
+    return Erase(step, run);
+  }
+  // What may not be repeated is let finish: a half-done booking helps nobody.
+  if (!run.order_.idempotent_) return;
+  step.effects_.emplace_back(AbortRun{.run_id_ = run.run_id_});
+  ReleaseSlot(step, run);
+  Reply(step, run, {.outcome_ = RunOutcome::kTimedOut});
+  Erase(step, run);
+  StartWaiting(step);
+}
+
+void OnEntryLost(RelayStep& step, std::uint64_t connection_id) {
+  std::vector<std::uint64_t> sends;
+  auto it = step.state_.run_of_send_.lower_bound({connection_id, 0});
+  for (; it != step.state_.run_of_send_.end(); ++it) {
+    if (it->first.first != connection_id) break;
+    sends.push_back(it->first.second);
+  }
+  for (const std::uint64_t send_id : sends) {
+    OnRunCancel(step, connection_id, send_id);
+  }
+}
+
+void OnBackendResponded(RelayStep& step, BackendResponded& responded) {
+  const auto found = step.state_.runs_.find(responded.run_id_);
+  if (found == step.state_.runs_.end()) return;
+  OpenRun& run = found->second;
+  ReleaseSlot(step, run);
+  const Duration hold = step.now_ - run.started_at_;
+  if (responded.spoilt_) {
+    ++step.state_.counters_.runs_broken_;
+    Reply(step, run, {.outcome_ = RunOutcome::kBroken});
+  } else if (responded.not_run_) {
+    ++step.state_.counters_.runs_refused_;
+    Reply(step, run, {.outcome_ = RunOutcome::kNotRun,
+                      .reason_ = NotRunReason::kRejected});
+  } else {
+    NoteRun(step, run);
+    RemoveConnectionHeaders(responded.response_.headers_);
+    Reply(step, run, {.outcome_ = RunOutcome::kAnswered,
+                      .hold_ = hold,
+                      .response_ = std::move(responded.response_)});
+  }
+  Erase(step, run);
+  StartWaiting(step);
+}
+
+void OnBackendBroke(RelayStep& step, const BackendBroke& broke) {
+  const auto found = step.state_.runs_.find(broke.run_id_);
+  if (found == step.state_.runs_.end()) return;
+  OpenRun& run = found->second;
+  ReleaseSlot(step, run);
+  if (broke.break_ == BackendBreak::kNotSent) {
+    ReplyNotRun(step, run, NotRunReason::kUnreachable);
+    OnBackendRefused(step);
+    return StartWaiting(step);
+  }
+  ++step.state_.counters_.runs_broken_;
+  if (broke.break_ == BackendBreak::kBroken) CountCrash(step, run);
+  Reply(step, run, {.outcome_ = RunOutcome::kBroken});
+  Erase(step, run);
+  StartWaiting(step);
+}
+
+void OnRunDeadline(RelayStep& step, std::uint64_t run_id) {
+  const auto found = step.state_.runs_.find(run_id);
+  if (found == step.state_.runs_.end()) return;
+  OpenRun& run = found->second;
+  if (!run.started_) {
+    RemoveWaiting(step.state_.waiting_, run_id);
+    return ReplyNotRun(step, run, NotRunReason::kExpired);
+  }
+  // The backend server ends its work at its own deadline; its answer may be
+  // on the way.
+  if (step.now_ < run.deadline_ + step.options_.answer_slack_) {
+    Arm(step, run.deadline_ + step.options_.answer_slack_,
+        RelayTimerKind::kRunDeadline, run_id);
+    return;
+  }
+  step.effects_.emplace_back(AbortRun{.run_id_ = run_id});
+  ReleaseSlot(step, run);
+  NoteRun(step, run);
+  Reply(step, run, {.outcome_ = RunOutcome::kTimedOut});
+  Erase(step, run);
+  StartWaiting(step);
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relay/internal/own_backend.cc
@@ -0,0 +1,110 @@
+#include "relay/internal/relay_step.h"
+
+namespace jujubefront {
+namespace {
+
+constexpr Duration kSilenceMargin = std::chrono::milliseconds(1000);
+
+std::string_view StateName(BackendState state) {
+  switch (state) {
+    case BackendState::kUnknown:
+      return "unknown";
+    case BackendState::kReady:
+      return "ready";
+    case BackendState::kDraining:
+      return "draining";
+    case BackendState::kGone:
+      return "gone";
+    case BackendState::kUnreachable:
+      return "unreachable";
+  }
+  return "unknown";
+}
+
+// Entries hear of a change before the backend server's message is
+// acknowledged, since both leave in the same step.
+void ChangeState(RelayStep& step, BackendState state, std::string_view why) {
+  OwnBackend& backend = step.state_.backend_;
+  const BackendState before = backend.state_;
+  backend.state_ = state;
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kBackendChanged,
+      .trace_id_ = {},
+      .inputs_ = {{"instance", backend.instance_},
+                  {"service", backend.service_},
+                  {"from", std::string(StateName(before))},
+                  {"to", std::string(StateName(state))},
+                  {"why", std::string(why)},
+                  {"sequence", static_cast<std::int64_t>(backend.sequence_)},
+                  {"started_at_ms", backend.started_at_ms_},
+                  {"slots", std::int64_t{backend.slots_}}}});
+  BroadcastStatus(step);
+}
+
+// True when the message is older than what is known.
+bool IsOutdated(const OwnBackend& backend, const BackendHeard& heard) {
+  if (heard.started_at_ms_ != backend.started_at_ms_) {
+    return heard.started_at_ms_ < backend.started_at_ms_;
+  }
+  if (heard.instance_ != backend.instance_) return false;
+  return backend.state_ == BackendState::kGone ||
+         heard.sequence_ <= backend.sequence_;
+}
+
+}  // namespace
+
+void OnBackendHeard(RelayStep& step, const BackendHeard& heard) {
+  OwnBackend& backend = step.state_.backend_;
+  if (heard.address_ != step.options_.backend_address_) return;
+  if (IsOutdated(backend, heard)) return;
+  const bool replaced = heard.instance_ != backend.instance_ ||
+                        heard.started_at_ms_ != backend.started_at_ms_;
+  if (replaced) {
+    step.state_.run_stats_.clear();
+    backend.state_ = BackendState::kUnknown;
+  }
+  const bool resized = heard.slots_ != backend.slots_;
+  backend.instance_ = heard.instance_;
+  backend.service_ = heard.service_;
+  backend.started_at_ms_ = heard.started_at_ms_;
+  backend.sequence_ = heard.sequence_;
+  backend.slots_ = heard.slots_;
+  backend.heard_at_ = step.now_;
+  const BackendState state =
+      heard.draining_ ? BackendState::kDraining : BackendState::kReady;
+  if (state != backend.state_ || replaced || resized) {
+    ChangeState(step, state, replaced ? "new instance" : "heartbeat");
+  }
+  if (state == BackendState::kReady) return StartWaiting(step);
+  RefuseWaiting(step, NotRunReason::kDraining);
+}
+
+void OnBackendLeaves(RelayStep& step, const BackendLeaves& leaves) {
+  OwnBackend& backend = step.state_.backend_;
+  if (leaves.instance_ != backend.instance_) return;
+  if (backend.state_ == BackendState::kGone) return;
+  ChangeState(step, BackendState::kGone, "it said that it leaves");
+  RefuseWaiting(step, NotRunReason::kDraining);
+}
+
+void OnBackendRefused(RelayStep& step) {
+  if (step.state_.backend_.state_ != BackendState::kReady) return;
+  ChangeState(step, BackendState::kUnreachable, "connection refused");
+  RefuseWaiting(step, NotRunReason::kUnreachable);
+}
+
+void CheckBackendSilence(RelayStep& step) {
+  OwnBackend& backend = step.state_.backend_;
+  if (backend.state_ == BackendState::kUnknown ||
+      backend.state_ == BackendState::kGone) {
+    return;
+  }
+  const Duration limit =
+      step.options_.heartbeat_interval_ * step.options_.heartbeats_missed_ +
+      kSilenceMargin;
+  if (step.now_ - backend.heard_at_ <= limit) return;
+  ChangeState(step, BackendState::kUnknown, "no heartbeat");
+  RefuseWaiting(step, NotRunReason::kUnreachable);
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relay/internal/peers.cc
@@ -0,0 +1,284 @@
+#include <algorithm>
+
+#include "relay/internal/relay_step.h"
+
+namespace jujubefront {
+namespace {
+
+constexpr Duration kFirstReconnectWait = std::chrono::milliseconds(100);
+// A host without load tells so less often.
+constexpr int kIdleStatusFactor = 4;
+// Time in which the own reader of the store should have brought a document
+// that a peer already has.
+constexpr Duration kTableGrace = std::chrono::milliseconds(300);
+constexpr Duration kTableAskInterval = std::chrono::milliseconds(700);
+
+bool IsBusy(const RelayState& state) {
+  if (state.running_ > 0 || !state.waiting_.runs_.empty()) return true;
+  return std::any_of(state.demands_.begin(), state.demands_.end(),
+                     [](const auto& entry) {
+                       return entry.second.per_second_ > 0.1;
+                     });
+}
+
+void LogPeer(RelayStep& step, const Peer& peer, std::string_view change) {
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kPeerChanged,
+      .trace_id_ = {},
+      .inputs_ = {{"peer", peer.address_},
+                  {"change", std::string(change)},
+                  {"zone", peer.status_.zone_},
+                  {"in_flight", std::int64_t{peer.in_flight_}},
+                  {"silent_us", (step.now_ - peer.last_heard_).count()}}});
+}
+
+void Connect(RelayStep& step, Peer& peer) {
+  peer.connecting_ = true;
+  step.effects_.emplace_back(ConnectPeer{.peer_ = peer.address_});
+}
+
+void ScheduleReconnect(RelayStep& step, Peer& peer) {
+  peer.reconnect_wait_ =
+      std::clamp(peer.reconnect_wait_ * 2, kFirstReconnectWait,
+                 step.options_.max_reconnect_interval_);
+  const double unit = NextUnit(step.state_.random_);
+  peer.reconnect_at_ =
+      step.now_ + Duration(static_cast<std::int64_t>(
+                      static_cast<double>(peer.reconnect_wait_.count()) *
+                      (0.5 + unit)));
+}
+
+void SendStatus(RelayStep& step, Peer& peer, const HostStatus& status) {
+  peer.status_sent_at_ = step.now_;
+  ++step.state_.counters_.statuses_sent_;
+  step.effects_.emplace_back(
+      SendToPeer{.peer_ = peer.address_, .message_ = status});
+}
+
+void CheckSilence(RelayStep& step, Peer& peer) {
+  if (peer.in_flight_ == 0) {
+    peer.suspected_ = false;
+    return;
+  }
+  const Duration silent = step.now_ - peer.last_heard_;
+  if (silent < step.options_.ping_after_) return;
+  if (step.now_ - peer.pinged_at_ >= step.options_.ping_after_) {
+    peer.pinged_at_ = step.now_;
+    step.effects_.emplace_back(
+        SendToPeer{.peer_ = peer.address_, .message_ = PeerPing{}});
+  }
+  if (silent >= step.options_.reopen_after_) {
+    LogPeer(step, peer, "connection opened anew after silence");
+    step.effects_.emplace_back(DisconnectPeer{.peer_ = peer.address_});
+    OnPeerDisconnected(step, peer.address_);
+    return;
+  }
+  if (silent >= step.options_.suspect_after_ && !peer.suspected_) {
+    peer.suspected_ = true;
+    LogPeer(step, peer, "suspected");
+    OnPeerSuspected(step, peer);
+  }
+}
+
+void AskForTable(RelayStep& step, Peer& peer) {
+  if (peer.status_.table_version_ <= step.state_.table_.version_) return;
+  if (step.now_ - peer.status_at_ < kTableGrace) return;
+  for (const auto& [address, other] : step.state_.peers_) {
+    if (step.now_ - other.table_asked_at_ < kTableAskInterval) return;
+  }
+  peer.table_asked_at_ = step.now_;
+  step.effects_.emplace_back(SendToPeer{
+      .peer_ = peer.address_,
+      .message_ = TableQuery{.newer_than_ = step.state_.table_.version_}});
+}
+
+Duration StatusInterval(const RelayStep& step, const Peer& peer) {
+  const bool far =
+      DistanceTo(step.options_, peer.status_) == Distance::kOtherRegion;
+  const Duration base = far ? step.options_.far_status_interval_
+                            : step.options_.status_interval_;
+  return IsBusy(step.state_) ? base : base * kIdleStatusFactor;
+}
+
+std::vector<RouteProfile> OwnProfiles(const RelayState& state) {
+  std::vector<RouteProfile> profiles;
+  for (const auto& [route, stats] : state.run_stats_) {
+    profiles.push_back({.route_ = route,
+                        .service_ = state.backend_.service_,
+                        .runs_ = stats.runs_,
+                        .slot_seconds_ = stats.hold_seconds_,
+                        .calls_ = stats.calls_});
+  }
+  return profiles;
+}
+
+std::vector<RouteDemand> OwnDemands(const RelayState& state) {
+  std::vector<RouteDemand> demands;
+  for (const RouteRule& route : state.table_.routes_) {
+    const auto found = state.demands_.find(route.name_);
+    if (found == state.demands_.end()) continue;
+    if (found->second.per_second_ < 0.01) continue;
+    demands.push_back({.route_ = route.name_,
+                       .priority_ = route.priority_,
+                       .per_second_ = found->second.per_second_});
+  }
+  return demands;
+}
+
+}  // namespace
+
+Distance DistanceTo(const RelayOptions& options, const HostStatus& status) {
+  if (status.zone_ == options.zone_) return Distance::kSameZone;
+  if (status.region_ == options.region_) return Distance::kSameRegion;
+  return Distance::kOtherRegion;
+}
+
+void NoteHeard(Peer& peer, Timestamp now) {
+  peer.last_heard_ = now;
+  peer.suspected_ = false;
+}
+
+Peer& EnsurePeer(RelayStep& step, const std::string& address) {
+  const auto [it, added] = step.state_.peers_.try_emplace(address);
+  Peer& peer = it->second;
+  if (!added) return peer;
+  peer.address_ = address;
+  peer.unreachable_since_ = step.now_;
+  if (address != step.options_.address_) Connect(step, peer);
+  return peer;
+}
+
+HostStatus MakeStatus(RelayStep& step, bool with_peers) {
+  RelayState& state = step.state_;
+  HostStatus status{
+      .address_ = step.options_.address_,
+      .boot_ = step.options_.boot_,
+      .sequence_ = ++state.status_sequence_,
+      .zone_ = step.options_.zone_,
+      .region_ = step.options_.region_,
+      .leaving_ = state.stopping_,
+      .service_ = state.backend_.service_,
+      .instance_ = state.backend_.instance_,
+      .backend_ = state.backend_.state_,
+      .slots_ = state.backend_.slots_,
+      .running_ = state.running_,
+      .waiting_ = static_cast<std::uint32_t>(state.waiting_.runs_.size()),
+      .table_version_ = state.table_.version_,
+      .profiles_ = OwnProfiles(state),
+      .demands_ = OwnDemands(state)};
+  if (with_peers) {
+    for (const auto& [address, peer] : state.peers_) {
+      if (peer.known_) status.peers_.push_back(address);
+    }
+  }
+  return status;
+}
+
+void BroadcastStatus(RelayStep& step) {
+  const HostStatus status = MakeStatus(step, false);
+  for (auto& [address, peer] : step.state_.peers_) {
+    if (address == step.options_.address_) {
+      peer.status_ = status;
+    } else if (peer.connected_) {
+      SendStatus(step, peer, status);
+    }
+  }
+}
+
+void OnStatus(RelayStep& step, std::uint64_t connection_id,
+              HostStatus& status) {
+  if (status.address_.empty() || status.address_ == step.options_.address_) {
+    return;
+  }
+  step.state_.peer_of_connection_[connection_id] = status.address_;
+  for (const std::string& address : status.peers_) EnsurePeer(step, address);
+  Peer& peer = EnsurePeer(step, status.address_);
+  // Connections are numbered in the order in which they were accepted: what an
+  // older one still brings is of an earlier process or order.
+  if (connection_id < peer.status_connection_) return;
+  peer.status_connection_ = connection_id;
+  const bool restarted = peer.known_ && peer.status_.boot_ != status.boot_;
+  const std::uint64_t version = peer.status_.table_version_;
+  const bool first = !peer.known_;
+  peer.known_ = true;
+  if (first || status.table_version_ != version) peer.status_at_ = step.now_;
+  if (restarted) peer.holds_.clear();
+  peer.status_ = std::move(status);
+  peer.status_.peers_.clear();
+  peer.sent_since_ = 0;
+  if (first || restarted) LogPeer(step, peer, first ? "known" : "restarted");
+  // A process that was away may be reached again at once.
+  if (!peer.connected_ && !peer.connecting_) Connect(step, peer);
+}
+
+void OnPeerConnected(RelayStep& step, const std::string& address) {
+  Peer& peer = EnsurePeer(step, address);
+  peer.connecting_ = false;
+  peer.connected_ = true;
+  peer.reconnect_wait_ = Duration::zero();
+  NoteHeard(peer, step.now_);
+  LogPeer(step, peer, "connected");
+  SendStatus(step, peer, MakeStatus(step, true));
+}
+
+void OnPeerDisconnected(RelayStep& step, const std::string& address) {
+  const auto found = step.state_.peers_.find(address);
+  if (found == step.state_.peers_.end()) return;
+  Peer& peer = found->second;
+  if (peer.connected_) {
+    LogPeer(step, peer, "disconnected");
+    peer.unreachable_since_ = step.now_;
+  }
+  peer.connected_ = false;
+  peer.connecting_ = false;
+  peer.suspected_ = false;
+  ScheduleReconnect(step, peer);
+  OnPeerLost(step, peer);
+  peer.in_flight_ = 0;
+}
+
+void OnTableQuery(RelayStep& step, std::uint64_t connection_id,
+                  const TableQuery& query) {
+  if (step.state_.table_.version_ <= query.newer_than_) return;
+  step.effects_.emplace_back(
+      SendBack{.connection_id_ = connection_id,
+               .message_ = TableText{.version_ = step.state_.table_.version_,
+                                     .text_ = step.state_.table_text_}});
+}
+
+void TickPeers(RelayStep& step) {
+  std::vector<std::string> forgotten;
+  std::vector<std::string> addresses;
+  for (const auto& [address, peer] : step.state_.peers_) {
+    if (address != step.options_.address_) addresses.push_back(address);
+  }
+  std::optional<HostStatus> status;
+  for (const std::string& address : addresses) {
+    Peer& peer = step.state_.peers_.at(address);
+    if (!peer.connected_ && !peer.connecting_) {
+      if (step.now_ - peer.unreachable_since_ > step.options_.forget_after_) {
+        forgotten.push_back(address);
+      } else if (step.now_ >= peer.reconnect_at_) {
+        Connect(step, peer);
+      }
+      continue;
+    }
+    if (!peer.connected_) continue;
+    CheckSilence(step, peer);
+    if (!peer.connected_) continue;
+    AskForTable(step, peer);
+    if (step.now_ - peer.status_sent_at_ >= StatusInterval(step, peer)) {
+      if (!status) status = MakeStatus(step, false);
+      SendStatus(step, peer, *status);
+    }
+  }
+  for (const std::string& address : forgotten) {
+    step.state_.peers_.erase(address);
+  }
+  const auto own = step.state_.peers_.find(step.options_.address_);
+  if (own != step.state_.peers_.end()) {
+    own->second.status_ = status ? *status : MakeStatus(step, false);
+  }
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relay/internal/planned_stop.cc
@@ -0,0 +1,40 @@
+#include "relay/internal/relay_step.h"
+
+namespace jujubefront {
+
+void UpdateReady(RelayStep& step) {
+  RelayState& state = step.state_;
+  const bool ready = state.table_.version_ != 0 && !state.stopping_;
+  if (ready == state.ready_) return;
+  state.ready_ = ready;
+  step.effects_.emplace_back(SetReady{.ready_ = ready});
+}
+
+void OnStopRequested(RelayStep& step) {
+  RelayState& state = step.state_;
+  if (state.stopping_) return;
+  state.stopping_ = true;
+  state.stop_at_ = step.now_;
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kStopping,
+      .trace_id_ = {},
+      .inputs_ = {
+          {"requests", static_cast<std::int64_t>(state.requests_.size())},
+          {"runs", static_cast<std::int64_t>(state.runs_.size())}}});
+  UpdateReady(step);
+  step.effects_.emplace_back(CloseClients{});
+  BroadcastStatus(step);
+}
+
+void TickStop(RelayStep& step) {
+  RelayState& state = step.state_;
+  if (!state.stopping_ || state.stopped_) return;
+  const Duration since = step.now_ - state.stop_at_;
+  const bool idle = state.requests_.empty() && state.runs_.empty();
+  if (since < step.options_.stop_linger_) return;
+  if (!idle && since < step.options_.stop_limit_) return;
+  state.stopped_ = true;
+  step.effects_.emplace_back(EndProcess{.cut_off_ = state.requests_.size()});
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relay/internal/relay_step.h
@@ -0,0 +1,92 @@
+#ifndef JUJUBEFRONT_RELAY_INTERNAL_RELAY_STEP_H_
+#define JUJUBEFRONT_RELAY_INTERNAL_RELAY_STEP_H_
+
+#include <string>
+#include <vector>
+
+#include "relay/relay_types.h"
+
+namespace jujubefront {
+
+// What the handlers of one event share.
+struct RelayStep {
+  RelayState& state_;
+  const RelayOptions& options_;
+  Timestamp now_;
+  std::vector<RelayEffect>& effects_;
+};
+
+inline std::uint64_t NewId(RelayStep& step) { return ++step.state_.last_id_; }
+
+inline void Arm(RelayStep& step, Timestamp at, RelayTimerKind kind,
+                std::uint64_t id = 0) {
+  step.state_.timers_.insert({at, kind, id});
+}
+
+// Entry side.
+void OnRequest(RelayStep& step, RequestArrived& arrived);
+void OnRequesterGone(RelayStep& step, std::uint64_t request_id);
+void OnRequestDeadline(RelayStep& step, std::uint64_t request_id);
+void OnRunReply(RelayStep& step, RunReply& reply);
+// All sends to this peer are lost.
+void OnPeerLost(RelayStep& step, Peer& peer);
+// The peer does not answer; requests that may be repeated go elsewhere.
+void OnPeerSuspected(RelayStep& step, Peer& peer);
+
+// Host side.
+void OnRunOrder(RelayStep& step, std::uint64_t connection_id, RunOrder& order);
+void OnRunCancel(RelayStep& step, std::uint64_t connection_id,
+                 std::uint64_t send_id);
+void OnEntryLost(RelayStep& step, std::uint64_t connection_id);
+void OnBackendResponded(RelayStep& step, BackendResponded& responded);
+void OnBackendBroke(RelayStep& step, const BackendBroke& broke);
+void OnRunDeadline(RelayStep& step, std::uint64_t run_id);
+void SweepWaiting(RelayStep& step);
+void StartWaiting(RelayStep& step);
+// Refuses everything that waits for a slot.
+void RefuseWaiting(RelayStep& step, NotRunReason reason);
+// Run at the own backend server whose deadline this call shares, or 0.
+std::uint64_t FindParentRun(const RelayStep& step, Timestamp deadline);
+
+// The own backend server.
+void OnBackendHeard(RelayStep& step, const BackendHeard& heard);
+void OnBackendLeaves(RelayStep& step, const BackendLeaves& leaves);
+// A connection to it was refused.
+void OnBackendRefused(RelayStep& step);
+void CheckBackendSilence(RelayStep& step);
+
+// Peers.
+Peer& EnsurePeer(RelayStep& step, const std::string& address);
+void OnStatus(RelayStep& step, std::uint64_t connection_id, HostStatus& status);
+void OnPeerConnected(RelayStep& step, const std::string& address);
+void OnPeerDisconnected(RelayStep& step, const std::string& address);
+void OnTableQuery(RelayStep& step, std::uint64_t connection_id,
+                  const TableQuery& query);
+HostStatus MakeStatus(RelayStep& step, bool with_peers);
+// Tells every connected peer at once.
+void BroadcastStatus(RelayStep& step);
+void TickPeers(RelayStep& step);
+Distance DistanceTo(const RelayOptions& options, const HostStatus& status);
+void NoteHeard(Peer& peer, Timestamp now);
+
+// Demand and admission.
+void CountDemand(RelayStep& step, const RouteRule& route, Duration remaining);
+void TickDemand(RelayStep& step);
+
+// Store.
+void StartStore(RelayStep& step);
+void OnTable(RelayStep& step, TableRead& read);
+void OnTableOffset(RelayStep& step, std::uint64_t next);
+void OnNodesRead(RelayStep& step, const NodesRead& read);
+void OnNodeAnnounced(RelayStep& step);
+void OnStoreFailed(RelayStep& step, const StoreFailed& failed);
+void RepeatStoreCall(RelayStep& step, StoreCall call);
+
+// Stop.
+void OnStopRequested(RelayStep& step);
+void TickStop(RelayStep& step);
+void UpdateReady(RelayStep& step);
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_RELAY_INTERNAL_RELAY_STEP_H_
--- /dev/null
+++ b/src/relay/internal/store_reader.cc
@@ -0,0 +1,121 @@
+#include <algorithm>
+
+#include "relay/internal/relay_step.h"
+
+namespace jujubefront {
+namespace {
+
+std::string_view CallName(StoreCall call) {
+  switch (call) {
+    case StoreCall::kReadTable:
+      return "read table";
+    case StoreCall::kAwaitTable:
+      return "await table";
+    case StoreCall::kAnnounce:
+      return "announce";
+    case StoreCall::kReadNodes:
+      return "read nodes";
+  }
+  return "call";
+}
+
+void NoteStoreAnswered(RelayStep& step) {
+  StoreState& store = step.state_.store_;
+  store.retry_wait_ = Duration::zero();
+  if (store.available_) return;
+  store.available_ = true;
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kStoreBack,
+      .trace_id_ = {},
+      .inputs_ = {{"away_us", (step.now_ - store.failed_since_).count()}}});
+}
+
+void RetryLater(RelayStep& step, StoreCall call) {
+  StoreState& store = step.state_.store_;
+  store.retry_wait_ =
+      std::clamp(store.retry_wait_ * 2, step.options_.store_retry_interval_,
+                 step.options_.max_store_retry_interval_);
+  const double unit = NextUnit(step.state_.random_);
+  const auto wait = Duration(static_cast<std::int64_t>(
+      static_cast<double>(store.retry_wait_.count()) * (0.5 + unit / 2)));
+  Arm(step, step.now_ + wait, RelayTimerKind::kStore,
+      static_cast<std::uint64_t>(call));
+}
+
+void Await(RelayStep& step) {
+  ++step.state_.counters_.store_calls_;
+  step.effects_.emplace_back(
+      AwaitTable{.from_ = step.state_.store_.next_offset_.value_or(0)});
+}
+
+}  // namespace
+
+void StartStore(RelayStep& step) {
+  step.state_.counters_.store_calls_ += 2;
+  step.effects_.emplace_back(ReadTable{});
+  step.effects_.emplace_back(AnnounceNode{});
+}
+
+void OnTable(RelayStep& step, TableRead& read) {
+  RelayState& state = step.state_;
+  // Within the life of a process the document never goes back.
+  if (read.table_.version_ <= state.table_.version_) return;
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kTableChanged,
+      .trace_id_ = {},
+      .inputs_ = {
+          {"from", static_cast<std::int64_t>(state.table_.version_)},
+          {"to", static_cast<std::int64_t>(read.table_.version_)},
+          {"routes", static_cast<std::int64_t>(read.table_.routes_.size())}}});
+  state.table_ = std::move(read.table_);
+  state.table_text_ = std::move(read.text_);
+  step.effects_.emplace_back(ApplyClientLimits{.limits_ = state.table_.limits_});
+  UpdateReady(step);
+  BroadcastStatus(step);
+}
+
+void OnTableOffset(RelayStep& step, std::uint64_t next) {
+  NoteStoreAnswered(step);
+  step.state_.store_.next_offset_ = next;
+  Await(step);
+}
+
+void OnNodeAnnounced(RelayStep& step) {
+  NoteStoreAnswered(step);
+  ++step.state_.counters_.store_calls_;
+  // Read after the own entry was written: of any two nodes at least one then
+  // sees the other.
+  step.effects_.emplace_back(ReadNodes{});
+}
+
+void OnNodesRead(RelayStep& step, const NodesRead& read) {
+  NoteStoreAnswered(step);
+  for (const std::string& address : read.addresses_) EnsurePeer(step, address);
+}
+
+void OnStoreFailed(RelayStep& step, const StoreFailed& failed) {
+  StoreState& store = step.state_.store_;
+  ++step.state_.counters_.store_failures_;
+  if (store.available_) {
+    store.available_ = false;
+    store.failed_since_ = step.now_;
+    step.effects_.emplace_back(Decision{
+        .kind_ = DecisionKind::kStoreLost,
+        .trace_id_ = {},
+        .inputs_ = {{"call", std::string(CallName(failed.call_))},
+                    {"history_lost", std::int64_t{failed.history_lost_}}}});
+  }
+  const bool reread =
+      failed.call_ == StoreCall::kAwaitTable && failed.history_lost_;
+  RetryLater(step, reread ? StoreCall::kReadTable : failed.call_);
+}
+
+void RepeatStoreCall(RelayStep& step, StoreCall call) {
+  if (call == StoreCall::kAwaitTable) return Await(step);
+  ++step.state_.counters_.store_calls_;
+  if (call == StoreCall::kReadTable) step.effects_.emplace_back(ReadTable{});
+  if (call == StoreCall::kAnnounce) step.effects_.emplace_back(AnnounceNode{});
+  if (call == StoreCall::kReadNodes) step.effects_.emplace_back(ReadNodes{});
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relay/message_types.h
@@ -0,0 +1,125 @@
+#ifndef JUJUBEFRONT_RELAY_MESSAGE_TYPES_H_
+#define JUJUBEFRONT_RELAY_MESSAGE_TYPES_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "allocation/allocation.h"
+#include "base/time_types.h"
+#include "http1/http1_types.h"
+
+namespace jujubefront {
+
+// State of a host's backend server, as its own node knows it.
+enum class BackendState : std::uint8_t {
+  kUnknown,      // not heard of yet, or silent
+  kReady,
+  kDraining,     // finishes what it has, takes nothing new
+  kGone,
+  kUnreachable,  // refuses connections
+};
+
+// What a node tells its peers about itself and its backend server.
+struct HostStatus {
+  std::string address_;  // of the peer link
+  std::uint64_t boot_ = 0;      // tells processes at one address apart
+  std::uint64_t sequence_ = 0;  // order of the statuses of one process
+  std::string zone_;
+  std::string region_;
+  bool leaving_ = false;  // the node stops
+  std::string service_;
+  std::string instance_;  // of the backend server
+  BackendState backend_ = BackendState::kUnknown;
+  std::uint32_t slots_ = 0;
+  std::uint32_t running_ = 0;
+  std::uint32_t waiting_ = 0;
+  std::uint64_t table_version_ = 0;  // of the routing document
+  std::vector<RouteProfile> profiles_;  // of the routes run here
+  std::vector<RouteDemand> demands_;    // of the clients on this host
+  std::vector<std::string> peers_;      // known addresses, on first contact
+  std::vector<std::uint64_t> suspects_;  // contents whose runs crashed servers
+};
+
+// A request on its way from the entry to the host that shall run it.
+struct RunOrder {
+  std::uint64_t send_id_ = 0;
+  std::string instance_;  // only this backend server may run it
+  std::string route_;
+  std::string caller_service_;
+  std::uint32_t priority_ = 0;
+  bool is_call_ = false;  // made by a backend server
+  bool idempotent_ = false;
+  Duration remaining_ = Duration::zero();
+  // Time left in which an answer is of full use; may be negative.
+  Duration objective_left_ = Duration::zero();
+  std::uint64_t content_ = 0;  // hash of path, caller and body
+  Http1Request request_;
+};
+
+// What became of a run order.
+enum class RunOutcome : std::uint8_t {
+  kAnswered,   // the backend server's whole response
+  kNotRun,     // no byte went to the backend server, or it said so itself
+  kBroken,     // it may have run; there is no usable response
+  kTimedOut,   // it may have run; its time is up
+};
+
+// Why a run order was not run.
+enum class NotRunReason : std::uint8_t {
+  kNone,
+  kOverloaded,
+  kExpired,
+  kOtherInstance,
+  kDraining,
+  kUnreachable,
+  kRejected,  // by the backend server itself
+  kStopping,
+  kCrashSuspect,
+};
+
+struct RunReply {
+  std::uint64_t send_id_ = 0;
+  RunOutcome outcome_ = RunOutcome::kNotRun;
+  NotRunReason reason_ = NotRunReason::kNone;
+  std::uint32_t running_ = 0;  // of the backend server, after this run
+  std::uint32_t waiting_ = 0;
+  Duration hold_ = Duration::zero();  // time the run held its slot
+  // A call that the run made was refused or failed; another backend server
+  // would meet the same.
+  bool calls_failed_ = false;
+  Http1Response response_;
+};
+
+// The entry no longer needs an answer.
+struct RunCancel {
+  std::uint64_t send_id_ = 0;
+};
+
+struct PeerPing {
+  std::uint64_t number_ = 0;
+};
+
+struct PeerPong {
+  std::uint64_t number_ = 0;
+};
+
+// Asks for the routing document, if it is newer than this version.
+struct TableQuery {
+  std::uint64_t newer_than_ = 0;
+};
+
+// The routing document as the operators wrote it.
+struct TableText {
+  std::uint64_t version_ = 0;
+  std::string text_;
+};
+
+using LinkMessage = std::variant<HostStatus, RunOrder, RunReply, RunCancel,
+                                 PeerPing, PeerPong, TableQuery, TableText>;
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_RELAY_MESSAGE_TYPES_H_
--- /dev/null
+++ b/src/relay/relay.cc
@@ -0,0 +1,133 @@
+#include "relay/relay.h"
+
+#include "relay/internal/relay_step.h"
+
+namespace jujubefront {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+
+void OnTick(RelayStep& step) {
+  CheckBackendSilence(step);
+  TickPeers(step);
+  TickDemand(step);
+  TickStop(step);
+  Arm(step, step.now_ + kTickInterval, RelayTimerKind::kTick);
+}
+
+void OnTimer(RelayStep& step, const RelayTimer& timer) {
+  switch (timer.kind_) {
+    case RelayTimerKind::kRequestDeadline:
+      return OnRequestDeadline(step, timer.id_);
+    case RelayTimerKind::kRunDeadline:
+      return OnRunDeadline(step, timer.id_);
+    case RelayTimerKind::kWaitingSweep:
+      return SweepWaiting(step);
+    case RelayTimerKind::kTick:
+      return OnTick(step);
+    case RelayTimerKind::kStore:
+      return RepeatStoreCall(step, static_cast<StoreCall>(timer.id_));
+  }
+}
+
+void RunTimers(RelayStep& step) {
+  auto& timers = step.state_.timers_;
+  while (!timers.empty() && timers.begin()->at_ <= step.now_) {
+    const RelayTimer timer = *timers.begin();
+    timers.erase(timers.begin());
+    OnTimer(step, timer);
+  }
+}
+
+void OnLink(RelayStep& step, LinkReceived& received) {
+  if (!received.peer_.empty()) {
+    NoteHeard(EnsurePeer(step, received.peer_), step.now_);
+  }
+  const std::uint64_t connection = received.connection_id_;
+  if (auto* status = std::get_if<HostStatus>(&received.message_)) {
+    OnStatus(step, connection, *status);
+  } else if (auto* order = std::get_if<RunOrder>(&received.message_)) {
+    OnRunOrder(step, connection, *order);
+  } else if (auto* reply = std::get_if<RunReply>(&received.message_)) {
+    OnRunReply(step, *reply);
+  } else if (auto* cancel = std::get_if<RunCancel>(&received.message_)) {
+    OnRunCancel(step, connection, cancel->send_id_);
+  } else if (std::holds_alternative<PeerPing>(received.message_)) {
+    step.effects_.emplace_back(
+        SendBack{.connection_id_ = connection, .message_ = PeerPong{}});
+  } else if (auto* query = std::get_if<TableQuery>(&received.message_)) {
+    OnTableQuery(step, connection, *query);
+  }
+}
+
+struct Dispatch {
+  RelayStep& step_;
+
+  void operator()(RequestArrived& e) const { OnRequest(step_, e); }
+  void operator()(RequesterGone& e) const {
+    OnRequesterGone(step_, e.request_id_);
+  }
+  void operator()(LinkReceived& e) const { OnLink(step_, e); }
+  void operator()(LinkEnded& e) const {
+    step_.state_.peer_of_connection_.erase(e.connection_id_);
+    OnEntryLost(step_, e.connection_id_);
+  }
+  void operator()(PeerConnected& e) const { OnPeerConnected(step_, e.peer_); }
+  void operator()(PeerDisconnected& e) const {
+    OnPeerDisconnected(step_, e.peer_);
+  }
+  void operator()(BackendResponded& e) const { OnBackendResponded(step_, e); }
+  void operator()(BackendBroke& e) const { OnBackendBroke(step_, e); }
+  void operator()(BackendHeard& e) const { OnBackendHeard(step_, e); }
+  void operator()(BackendLeaves& e) const { OnBackendLeaves(step_, e); }
+  void operator()(TableRead& e) const { OnTable(step_, e); }
+  void operator()(TableOffset& e) const { OnTableOffset(step_, e.next_); }
+  void operator()(NodesRead& e) const { OnNodesRead(step_, e); }
+  void operator()(NodeAnnounced&) const { OnNodeAnnounced(step_); }
+  void operator()(StoreFailed& e) const { OnStoreFailed(step_, e); }
+  void operator()(RelayTimeReached&) const {}
+  void operator()(StopRequested&) const { OnStopRequested(step_); }
+  void operator()(SettingsReloaded&) const {
+    step_.effects_.emplace_back(Decision{.kind_ = DecisionKind::kReloaded});
+  }
+};
+
+}  // namespace
+
+RelayState MakeRelay(const RelayOptions& options, Timestamp now,
+                     std::vector<RelayEffect>& effects) {
+  RelayState state;
+  state.random_.state_ = options.seed_;
+  state.started_at_ = now;
+  state.demand_window_start_ = now;
+  RelayStep step{state, options, now, effects};
+  EnsurePeer(step, options.address_).known_ = true;
+  for (const std::string& seed : options.seeds_) EnsurePeer(step, seed);
+  StartStore(step);
+  Arm(step, now + kTickInterval, RelayTimerKind::kTick);
+  return state;
+}
+
+std::vector<RelayEffect> StepRelay(RelayState& state,
+                                   const RelayOptions& options,
+                                   RelayEvent event) {
+  std::vector<RelayEffect> effects;
+  RelayStep step{state, options, event.now_, effects};
+  // After a suspension the deadlines that have passed come first, so that
+  // nothing starts too late.
+  RunTimers(step);
+  std::visit(Dispatch{step}, event.body_);
+  while (!state.own_replies_.empty()) {
+    RunReply reply = std::move(state.own_replies_.front());
+    state.own_replies_.pop_front();
+    OnRunReply(step, reply);
+  }
+  return effects;
+}
+
+std::optional<Timestamp> NextRelayWake(const RelayState& state) {
+  if (state.timers_.empty()) return std::nullopt;
+  return state.timers_.begin()->at_;
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relay/relay_event_types.h
@@ -0,0 +1,135 @@
+#ifndef JUJUBEFRONT_RELAY_RELAY_EVENT_TYPES_H_
+#define JUJUBEFRONT_RELAY_RELAY_EVENT_TYPES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "relay/message_types.h"
+#include "routes/routes_types.h"
+
+namespace jujubefront {
+
+// A whole request of a client or of the host's backend server.
+struct RequestArrived {
+  std::uint64_t request_id_ = 0;
+  std::string trace_id_;  // the client's id of this attempt
+  std::string host_;      // Host header
+  std::optional<Duration> remaining_;
+  bool from_own_host_ = false;
+  Http1Request request_;
+};
+
+// The client left before its answer.
+struct RequesterGone {
+  std::uint64_t request_id_ = 0;
+};
+
+// A message of a peer: on a connection that it opened, where replies go back
+// on the same connection, or on the own connection to it.
+struct LinkReceived {
+  std::uint64_t connection_id_ = 0;  // opened by the peer; 0: the own one
+  std::string peer_;                 // of the own connection
+  LinkMessage message_;
+};
+
+// A connection on which a peer sent to us has ended.
+struct LinkEnded {
+  std::uint64_t connection_id_ = 0;
+};
+
+// The connection on which we send to a peer.
+struct PeerConnected {
+  std::string peer_;
+};
+struct PeerDisconnected {
+  std::string peer_;
+};
+
+// Response of the own backend server.
+struct BackendResponded {
+  std::uint64_t run_id_ = 0;
+  Http1Response response_;
+  // The backend server states that it did not run the request.
+  bool not_run_ = false;
+  bool spoilt_ = false;  // not the body that the backend server made
+};
+
+enum class BackendBreak : std::uint8_t { kNotSent, kBroken, kMalformed };
+
+struct BackendBroke {
+  std::uint64_t run_id_ = 0;
+  BackendBreak break_ = BackendBreak::kBroken;
+};
+
+// What the own backend server says of itself.
+struct BackendHeard {
+  std::string instance_;
+  std::string service_;
+  std::string address_;
+  std::int64_t started_at_ms_ = 0;  // its own clock; orders its incarnations
+  std::uint64_t sequence_ = 0;
+  std::uint32_t slots_ = 0;
+  bool draining_ = false;
+  Duration cold_left_ = Duration::zero();
+};
+
+// The own backend server says that it ends.
+struct BackendLeaves {
+  std::string instance_;
+};
+
+// The platform's store has the newest routing document.
+struct TableRead {
+  RouteTable table_;
+  std::string text_;
+};
+
+// The store has no (newer) document; reading goes on from this offset.
+struct TableOffset {
+  std::uint64_t next_ = 0;
+};
+
+// The addresses of nodes that the store lists.
+struct NodesRead {
+  std::vector<std::string> addresses_;
+};
+
+struct NodeAnnounced {};
+
+enum class StoreCall : std::uint8_t { kReadTable, kAwaitTable, kAnnounce, kReadNodes };
+
+// A call to the store failed.
+struct StoreFailed {
+  StoreCall call_ = StoreCall::kReadTable;
+  bool history_lost_ = false;  // the records asked for are no longer kept
+};
+
+struct RelayTimeReached {};
+
+// The platform asks for a planned stop.
+struct StopRequested {};
+
+// The settings file was read again.
+struct SettingsReloaded {};
+
+using RelayEventBody =
+    std::variant<RequestArrived, RequesterGone, LinkReceived, LinkEnded,
+                 PeerConnected, PeerDisconnected, BackendResponded,
+                 BackendBroke, BackendHeard, BackendLeaves, TableRead,
+                 TableOffset, NodesRead, NodeAnnounced, StoreFailed,
+                 RelayTimeReached, StopRequested, SettingsReloaded>;
+
+// Everything that the reducer learns, with the time at which it learns it.
+struct RelayEvent {
+  // Time since boot, suspended time included, as a time point. The time of
+  // day decides nothing.
+  Timestamp now_;
+  RelayEventBody body_;
+};
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_RELAY_RELAY_EVENT_TYPES_H_
--- /dev/null
+++ b/src/relay/relay_types.h
@@ -0,0 +1,255 @@
+#ifndef JUJUBEFRONT_RELAY_RELAY_TYPES_H_
+#define JUJUBEFRONT_RELAY_RELAY_TYPES_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "allocation/allocation.h"
+#include "base/hashing.h"
+#include "placement/placement.h"
+#include "relay/relay_effect_types.h"
+#include "relay/relay_event_types.h"
+#include "retries/retries_types.h"
+#include "routes/routes_types.h"
+#include "waiting/waiting.h"
+
+namespace jujubefront {
+
+// Everything that is fixed for the life of a relay.
+struct RelayOptions {
+  std::string address_;  // of the peer link, IP:port
+  std::string zone_;
+  std::string region_;
+  std::string service_;          // of the host's backend server
+  std::string backend_address_;  // of the host's backend server
+  std::vector<std::string> seeds_;  // peer links to try first
+  std::uint64_t boot_ = 0;
+  std::uint64_t seed_ = 0;
+  PlacementOptions placement_;
+  AllocationOptions allocation_;
+  // Retries by service: share of first sends, and burst of this node alone.
+  RetryOptions retries_;
+  Duration heartbeat_interval_ = std::chrono::milliseconds(1500);
+  // Heartbeats that may be missed before a backend server counts as silent.
+  std::uint32_t heartbeats_missed_ = 3;
+  // Intervals of status messages within the region and across regions.
+  Duration status_interval_ = std::chrono::milliseconds(250);
+  Duration far_status_interval_ = std::chrono::milliseconds(1000);
+  // Window over which demand and run profiles are averaged.
+  Duration load_window_ = std::chrono::milliseconds(1000);
+  Duration reconnect_interval_ = std::chrono::milliseconds(500);
+  Duration max_reconnect_interval_ = std::chrono::seconds(4);
+  // Silence of a peer with requests in flight after which it is pinged, after
+  // which it is passed over, and after which its connection is opened anew.
+  Duration ping_after_ = std::chrono::milliseconds(300);
+  Duration suspect_after_ = std::chrono::milliseconds(900);
+  Duration reopen_after_ = std::chrono::milliseconds(2500);
+  // Peers that stay unreachable for longer are forgotten.
+  Duration forget_after_ = std::chrono::minutes(2);
+  Duration store_retry_interval_ = std::chrono::milliseconds(400);
+  Duration max_store_retry_interval_ = std::chrono::seconds(2);
+  // Stop: shortest time in which clients still arrive, and longest in all.
+  Duration stop_linger_ = std::chrono::milliseconds(3200);
+  Duration stop_limit_ = std::chrono::milliseconds(5500);
+  // Time after a run's deadline in which the backend server's own answer to it
+  // is waited for.
+  Duration answer_slack_ = std::chrono::milliseconds(50);
+};
+
+// One client request until it is answered.
+struct OpenRequest {
+  std::uint64_t request_id_ = 0;
+  std::string trace_id_;
+  std::string route_;
+  std::string service_;
+  bool idempotent_ = false;
+  bool is_call_ = false;
+  std::uint32_t priority_ = 0;
+  std::uint32_t max_attempts_ = 1;
+  Timestamp arrived_;
+  Timestamp deadline_;      // the client's, or the route's timeout
+  Timestamp objective_at_;  // until when an answer is of full use
+  Duration objective_ = Duration::zero();
+  std::uint64_t content_ = 0;
+  std::uint64_t parent_run_ = 0;  // run at the own backend server that calls
+  Http1Request request_;
+  std::uint64_t send_id_ = 0;  // present send
+  std::uint32_t sends_ = 0;    // that may have reached a backend server
+  std::uint32_t tries_ = 0;    // all sends
+  bool may_have_run_ = false;
+  std::vector<std::string> tried_;
+};
+
+// A run order that was sent and not answered.
+struct OpenSend {
+  std::uint64_t request_id_ = 0;
+  std::string peer_;
+  std::string route_;
+  Timestamp sent_at_;
+};
+
+// A run order taken from an entry, until it is answered.
+struct OpenRun {
+  std::uint64_t run_id_ = 0;
+  std::uint64_t connection_id_ = 0;  // 0: the own entry
+  RunOrder order_;
+  Timestamp arrived_;
+  Timestamp deadline_;
+  Timestamp started_at_;
+  bool started_ = false;
+  std::map<std::string, std::uint32_t> calls_;  // made by this run, by route
+  bool calls_failed_ = false;
+};
+
+// Smoothed measurements of the runs of one route at the own backend server.
+struct RunStats {
+  double runs_ = 0.0;          // of the running average
+  double hold_seconds_ = 0.0;  // mean
+  std::map<std::string, double> calls_;  // mean per run
+};
+
+// Own experience of a peer's backend server.
+struct Experience {
+  double failure_share_ = 0.0;
+  Timestamp noted_at_;
+};
+
+// Another node.
+struct Peer {
+  std::string address_;
+  HostStatus status_;
+  bool known_ = false;  // a status has arrived
+  Timestamp status_at_;
+  std::uint64_t status_connection_ = 0;  // that brought the status
+  bool connected_ = false;
+  bool connecting_ = false;
+  Timestamp reconnect_at_;
+  Duration reconnect_wait_ = Duration::zero();
+  Timestamp unreachable_since_;
+  Timestamp last_heard_;  // on the own connection
+  Timestamp pinged_at_;
+  bool suspected_ = false;
+  std::uint32_t in_flight_ = 0;   // run orders of ours
+  std::uint32_t sent_since_ = 0;  // run orders after the last load report
+  Timestamp status_sent_at_;
+  std::map<std::string, Duration> holds_;  // measured, by route
+  Experience experience_;
+  Timestamp table_asked_at_;
+};
+
+// The host's own backend server.
+struct OwnBackend {
+  BackendState state_ = BackendState::kUnknown;
+  std::string instance_;
+  std::string service_;
+  std::int64_t started_at_ms_ = 0;
+  std::uint64_t sequence_ = 0;
+  std::uint32_t slots_ = 0;
+  Timestamp heard_at_;
+};
+
+// Demand of clients for one route on this host.
+struct DemandMeter {
+  double per_second_ = 0.0;
+  std::uint32_t counted_ = 0;  // in the window under way
+  Duration usual_deadline_ = Duration::zero();  // longest seen lately
+};
+
+// Progress of reading the store.
+struct StoreState {
+  std::optional<std::uint64_t> next_offset_;
+  Duration retry_wait_ = Duration::zero();
+  bool available_ = true;
+  Timestamp failed_since_;
+};
+
+enum class RelayTimerKind : std::uint8_t {
+  kRequestDeadline,
+  kRunDeadline,
+  kWaitingSweep,
+  kTick,
+  kStore,
+};
+
+struct RelayTimer {
+  Timestamp at_;
+  RelayTimerKind kind_ = RelayTimerKind::kTick;
+  std::uint64_t id_ = 0;
+
+  bool operator<(const RelayTimer& other) const {
+    return std::tie(at_, kind_, id_) <
+           std::tie(other.at_, other.kind_, other.id_);
+  }
+};
+
+// Counts since the start of the process.
+struct RelayCounters {
+  std::uint64_t requests_ = 0;
+  std::uint64_t calls_ = 0;
+  std::uint64_t answered_ = 0;
+  std::uint64_t refused_at_entry_ = 0;
+  std::uint64_t refused_ = 0;
+  std::uint64_t failed_ = 0;
+  std::uint64_t timed_out_ = 0;
+  std::uint64_t cancelled_ = 0;
+  std::uint64_t unrouted_ = 0;
+  std::uint64_t sends_ = 0;
+  std::uint64_t resends_ = 0;
+  std::uint64_t resends_denied_ = 0;
+  std::uint64_t zone_crossings_ = 0;
+  std::uint64_t region_crossings_ = 0;
+  std::uint64_t runs_ = 0;
+  std::uint64_t runs_refused_ = 0;
+  std::uint64_t runs_broken_ = 0;
+  std::uint64_t late_replies_ = 0;
+  std::uint64_t store_calls_ = 0;
+  std::uint64_t store_failures_ = 0;
+  std::uint64_t statuses_sent_ = 0;
+};
+
+// The whole state of a relay.
+struct RelayState {
+  RandomState random_;
+  std::uint64_t last_id_ = 0;
+  Timestamp started_at_;
+  RouteTable table_;
+  std::string table_text_;
+  std::unordered_map<std::uint64_t, OpenRequest> requests_;
+  std::unordered_map<std::uint64_t, OpenSend> sends_;
+  std::unordered_map<std::uint64_t, OpenRun> runs_;
+  // Runs by the connection and send id of their entry.
+  std::map<std::pair<std::uint64_t, std::uint64_t>, std::uint64_t> run_of_send_;
+  WaitingQueue waiting_;
+  std::uint32_t running_ = 0;
+  OwnBackend backend_;
+  std::map<std::string, RunStats> run_stats_;
+  std::map<std::string, Peer> peers_;
+  std::unordered_map<std::uint64_t, std::string> peer_of_connection_;
+  std::map<std::string, RetryBudget> retry_budgets_;  // by service
+  std::map<std::string, DemandMeter> demands_;
+  std::map<std::string, double> admitted_;  // by route; absent: all
+  Timestamp demand_window_start_;
+  std::set<std::uint64_t> condemned_;  // contents that crash backend servers
+  std::map<std::uint64_t, std::uint32_t> crashes_;  // by content
+  StoreState store_;
+  std::uint64_t status_sequence_ = 0;
+  bool ready_ = false;
+  bool stopping_ = false;
+  bool stopped_ = false;
+  Timestamp stop_at_;
+  std::set<RelayTimer> timers_;
+  RelayCounters counters_;
+  // Replies of the own host to the own entry, handled within the same step.
+  std::deque<RunReply> own_replies_;
+};
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_RELAY_RELAY_TYPES_H_
--- /dev/null
+++ b/src/relaylink/link.capnp
@@ -0,0 +1,97 @@
+@0xd1c6a0a87c2b5e11;
+
+# Messages between the relays of two hosts.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("jujubefront::linkwire");
+
+struct Message {
+  union {
+    status @0 :Status;
+    order @1 :Order;
+    reply @2 :Reply;
+    cancel @3 :UInt64;  # send id
+    ping @4 :UInt64;
+    pong @5 :UInt64;
+    tableQuery @6 :UInt64;  # version that is known
+    tableText @7 :TableText;
+  }
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Rate {
+  route @0 :Text;
+  value @1 :Float64;
+}
+
+struct Profile {
+  route @0 :Text;
+  runs @1 :Float64;
+  slotSeconds @2 :Float64;
+  calls @3 :List(Rate);
+}
+
+struct Demand {
+  route @0 :Text;
+  priority @1 :UInt32;
+  perSecond @2 :Float32;
+}
+
+struct Status {
+  address @0 :Text;
+  boot @1 :UInt64;
+  sequence @2 :UInt64;
+  zone @3 :Text;
+  region @4 :Text;
+  leaving @5 :Bool;
+  service @6 :Text;
+  instance @7 :Text;
+  backend @8 :UInt8;
+  slots @9 :UInt32;
+  running @10 :UInt32;
+  waiting @11 :UInt32;
+  tableVersion @12 :UInt64;
+  profiles @13 :List(Profile);
+  demands @14 :List(Demand);
+  peers @15 :List(Text);
+  suspects @16 :List(UInt64);
+}
+
+struct Order {
+  sendId @0 :UInt64;
+  instance @1 :Text;
+  route @2 :Text;
+  callerService @3 :Text;
+  priority @4 :UInt32;
+  isCall @5 :Bool;
+  idempotent @6 :Bool;
+  remainingUs @7 :Int64;
+  objectiveLeftUs @8 :Int64;
+  content @9 :UInt64;
+  method @10 :Text;
+  target @11 :Text;
+  headers @12 :List(Header);
+  body @13 :Data;
+}
+
+struct Reply {
+  sendId @0 :UInt64;
+  outcome @1 :UInt8;
+  reason @2 :UInt8;
+  running @3 :UInt32;
+  waiting @4 :UInt32;
+  holdUs @5 :Int64;
+  callsFailed @6 :Bool;
+  status @7 :UInt16;
+  headers @8 :List(Header);
+  body @9 :Data;
+}
+
+struct TableText {
+  version @0 :UInt64;
+  text @1 :Data;
+}
--- /dev/null
+++ b/src/relaylink/link_codec.cc
@@ -0,0 +1,303 @@
+#include "relaylink/link_codec.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <link.capnp.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace jujubefront {
+namespace {
+
+capnp::Text::Reader ToText(const std::string& text) {
+  return {text.c_str(), text.size()};
+}
+
+std::string ToString(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+capnp::Data::Reader ToData(const std::string& bytes) {
+  return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+std::string ToString(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+// Number of an enumerator, or the given one when the peer sent none we know.
+template <typename Enum>
+Enum ToEnum(std::uint8_t number, Enum last, Enum otherwise) {
+  return number <= static_cast<std::uint8_t>(last) ? static_cast<Enum>(number)
+                                                   : otherwise;
+}
+
+template <typename Builder>
+void WriteHeaders(Builder list, const HeaderList& headers) {
+  for (unsigned i = 0; i < headers.size(); ++i) {
+    list[i].setName(ToText(headers[i].first));
+    list[i].setValue(ToText(headers[i].second));
+  }
+}
+
+HeaderList ReadHeaders(capnp::List<linkwire::Header>::Reader list) {
+  HeaderList headers;
+  headers.reserve(list.size());
+  for (const auto header : list) {
+    headers.emplace_back(ToString(header.getName()),
+                         ToString(header.getValue()));
+  }
+  return headers;
+}
+
+void WriteProfiles(linkwire::Status::Builder builder,
+                   const HostStatus& status) {
+  auto profiles = builder.initProfiles(status.profiles_.size());
+  for (unsigned i = 0; i < status.profiles_.size(); ++i) {
+    const RouteProfile& profile = status.profiles_[i];
+    profiles[i].setRoute(ToText(profile.route_));
+    profiles[i].setRuns(profile.runs_);
+    profiles[i].setSlotSeconds(profile.slot_seconds_);
+    auto calls = profiles[i].initCalls(profile.calls_.size());
+    unsigned at = 0;
+    for (const auto& [route, mean] : profile.calls_) {
+      calls[at].setRoute(ToText(route));
+      calls[at++].setValue(mean);
+    }
+  }
+}
+
+void Write(linkwire::Message::Builder message, const HostStatus& status) {
+  auto builder = message.initStatus();
+  builder.setAddress(ToText(status.address_));
+  builder.setBoot(status.boot_);
+  builder.setSequence(status.sequence_);
+  builder.setZone(ToText(status.zone_));
+  builder.setRegion(ToText(status.region_));
+  builder.setLeaving(status.leaving_);
+  builder.setService(ToText(status.service_));
+  builder.setInstance(ToText(status.instance_));
+  builder.setBackend(static_cast<std::uint8_t>(status.backend_));
+  builder.setSlots(status.slots_);
+  builder.setRunning(status.running_);
+  builder.setWaiting(status.waiting_);
+  builder.setTableVersion(status.table_version_);
+  WriteProfiles(builder, status);
+  auto demands = builder.initDemands(status.demands_.size());
+  for (unsigned i = 0; i < status.demands_.size(); ++i) {
+    demands[i].setRoute(ToText(status.demands_[i].route_));
+    demands[i].setPriority(status.demands_[i].priority_);
+    demands[i].setPerSecond(static_cast<float>(status.demands_[i].per_second_));
+  }
+  auto peers = builder.initPeers(status.peers_.size());
+  for (unsigned i = 0; i < status.peers_.size(); ++i) {
+    peers.set(i, ToText(status.peers_[i]));
+  }
+  auto suspects = builder.initSuspects(status.suspects_.size());
+  for (unsigned i = 0; i < status.suspects_.size(); ++i) {
+    suspects.set(i, status.suspects_[i]);
+  }
+}
+
+HostStatus Read(linkwire::Status::Reader reader) {
+  HostStatus status;
+  status.address_ = ToString(reader.getAddress());
+  status.boot_ = reader.getBoot();
+  status.sequence_ = reader.getSequence();
+  status.zone_ = ToString(reader.getZone());
+  status.region_ = ToString(reader.getRegion());
+  status.leaving_ = reader.getLeaving();
+  status.service_ = ToString(reader.getService());
+  status.instance_ = ToString(reader.getInstance());
+  status.backend_ = ToEnum(reader.getBackend(), BackendState::kUnreachable,
+                           BackendState::kUnknown);
+  status.slots_ = reader.getSlots();
+  status.running_ = reader.getRunning();
+  status.waiting_ = reader.getWaiting();
+  status.table_version_ = reader.getTableVersion();
+  for (const auto profile : reader.getProfiles()) {
+    RouteProfile& added = status.profiles_.emplace_back();
+    added.route_ = ToString(profile.getRoute());
+    added.service_ = status.service_;
+    added.runs_ = profile.getRuns();
+    added.slot_seconds_ = profile.getSlotSeconds();
+    for (const auto call : profile.getCalls()) {
+      added.calls_[ToString(call.getRoute())] = call.getValue();
+    }
+  }
+  for (const auto demand : reader.getDemands()) {
+    status.demands_.push_back({.route_ = ToString(demand.getRoute()),
+                               .priority_ = demand.getPriority(),
+                               .per_second_ = demand.getPerSecond()});
+  }
+  for (const auto peer : reader.getPeers()) {
+    status.peers_.push_back(ToString(peer));
+  }
+  for (const auto suspect : reader.getSuspects()) {
+    status.suspects_.push_back(suspect);
+  }
+  return status;
+}
+
+void Write(linkwire::Message::Builder message, const RunOrder& order) {
+  auto builder = message.initOrder();
+  builder.setSendId(order.send_id_);
+  builder.setInstance(ToText(order.instance_));
+  builder.setRoute(ToText(order.route_));
+  builder.setCallerService(ToText(order.caller_service_));
+  builder.setPriority(order.priority_);
+  builder.setIsCall(order.is_call_);
+  builder.setIdempotent(order.idempotent_);
+  builder.setRemainingUs(order.remaining_.count());
+  builder.setObjectiveLeftUs(order.objective_left_.count());
+  builder.setContent(order.content_);
+  builder.setMethod(ToText(order.request_.method_));
+  builder.setTarget(ToText(order.request_.target_));
+  WriteHeaders(builder.initHeaders(order.request_.headers_.size()),
+               order.request_.headers_);
+  builder.setBody(ToData(order.request_.body_));
+}
+
+RunOrder Read(linkwire::Order::Reader reader) {
+  RunOrder order;
+  order.send_id_ = reader.getSendId();
+  order.instance_ = ToString(reader.getInstance());
+  order.route_ = ToString(reader.getRoute());
+  order.caller_service_ = ToString(reader.getCallerService());
+  order.priority_ = reader.getPriority();
+  order.is_call_ = reader.getIsCall();
+  order.idempotent_ = reader.getIdempotent();
+  order.remaining_ = Duration(reader.getRemainingUs());
+  order.objective_left_ = Duration(reader.getObjectiveLeftUs());
+  order.content_ = reader.getContent();
+  order.request_.method_ = ToString(reader.getMethod());
+  order.request_.target_ = ToString(reader.getTarget());
+  order.request_.headers_ = ReadHeaders(reader.getHeaders());
+  order.request_.body_ = ToString(reader.getBody());
+  return order;
+}
+
+void Write(linkwire::Message::Builder message, const RunReply& reply) {
+  auto builder = message.initReply();
+  builder.setSendId(reply.send_id_);
+  builder.setOutcome(static_cast<std::uint8_t>(reply.outcome_));
+  builder.setReason(static_cast<std::uint8_t>(reply.reason_));
+  builder.setRunning(reply.running_);
+  builder.setWaiting(reply.waiting_);
+  builder.setHoldUs(reply.hold_.count());
+  builder.setCallsFailed(reply.calls_failed_);
+  builder.setStatus(static_cast<std::uint16_t>(reply.response_.status_));
+  WriteHeaders(builder.initHeaders(reply.response_.headers_.size()),
+               reply.response_.headers_);
+  builder.setBody(ToData(reply.response_.body_));
+}
+
+RunReply Read(linkwire::Reply::Reader reader) {
+  RunReply reply;
+  reply.send_id_ = reader.getSendId();
+  // An outcome that is not known here leaves open whether the request ran.
+  reply.outcome_ = ToEnum(reader.getOutcome(), RunOutcome::kTimedOut,
+                          RunOutcome::kBroken);
+  reply.reason_ = ToEnum(reader.getReason(), NotRunReason::kCrashSuspect,
+                         NotRunReason::kNone);
+  reply.running_ = reader.getRunning();
+  reply.waiting_ = reader.getWaiting();
+  reply.hold_ = Duration(reader.getHoldUs());
+  reply.calls_failed_ = reader.getCallsFailed();
+  reply.response_.status_ = reader.getStatus();
+  reply.response_.headers_ = ReadHeaders(reader.getHeaders());
+  reply.response_.body_ = ToString(reader.getBody());
+  return reply;
+}
+
+struct Encoder {
+  linkwire::Message::Builder message_;
+
+  void operator()(const HostStatus& value) { Write(message_, value); }
+  void operator()(const RunOrder& value) { Write(message_, value); }
+  void operator()(const RunReply& value) { Write(message_, value); }
+  void operator()(const RunCancel& value) {
+    message_.setCancel(value.send_id_);
+  }
+  void operator()(const PeerPing& value) { message_.setPing(value.number_); }
+  void operator()(const PeerPong& value) { message_.setPong(value.number_); }
+  void operator()(const TableQuery& value) {
+    message_.setTableQuery(value.newer_than_);
+  }
+  void operator()(const TableText& value) {
+    auto builder = message_.initTableText();
+    builder.setVersion(value.version_);
+    builder.setText(ToData(value.text_));
+  }
+};
+
+std::optional<LinkMessage> Decode(linkwire::Message::Reader message) {
+  switch (message.which()) {
+    case linkwire::Message::STATUS:
+      return Read(message.getStatus());
+    case linkwire::Message::ORDER:
+      return Read(message.getOrder());
+    case linkwire::Message::REPLY:
+      return Read(message.getReply());
+    case linkwire::Message::CANCEL:
+      return RunCancel{.send_id_ = message.getCancel()};
+    case linkwire::Message::PING:
+      return PeerPing{.number_ = message.getPing()};
+    case linkwire::Message::PONG:
+      return PeerPong{.number_ = message.getPong()};
+    case linkwire::Message::TABLE_QUERY:
+      return TableQuery{.newer_than_ = message.getTableQuery()};
+    case linkwire::Message::TABLE_TEXT:
+      return TableText{.version_ = message.getTableText().getVersion(),
+                       .text_ = ToString(message.getTableText().getText())};
+  }
+  return std::nullopt;
+}
+
+// Size of the frame that begins with these words, 0 when they are too few.
+std::size_t FrameBytes(kj::ArrayPtr<const capnp::word> words) {
+  if (words.size() == 0) return 0;
+  return capnp::expectedSizeInWordsFromPrefix(words) * sizeof(capnp::word);
+}
+
+}  // namespace
+
+std::string EncodeLinkMessage(const LinkMessage& message) {
+  capnp::MallocMessageBuilder builder;
+  std::visit(Encoder{builder.initRoot<linkwire::Message>()}, message);
+  const auto words = capnp::messageToFlatArray(builder);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+LinkDecoding DecodeLinkMessage(std::string_view bytes) {
+  LinkDecoding decoding;
+  if (bytes.size() < sizeof(capnp::word)) return decoding;
+  // The segment table is read from an aligned copy; it is short.
+  std::array<capnp::word, 8> prefix{};
+  const std::size_t prefix_bytes = std::min(bytes.size(), sizeof(prefix));
+  std::memcpy(prefix.data(), bytes.data(), prefix_bytes);
+  const std::size_t frame = FrameBytes(
+      kj::arrayPtr(prefix.data(), prefix_bytes / sizeof(capnp::word)));
+  if (frame > kMaxLinkMessageBytes) {
+    decoding.malformed_ = true;
+    return decoding;
+  }
+  if (bytes.size() < frame) return decoding;
+  decoding.consumed_ = frame;
+  auto words = kj::heapArray<capnp::word>(frame / sizeof(capnp::word));
+  std::memcpy(words.begin(), bytes.data(), frame);
+  try {
+    capnp::FlatArrayMessageReader reader(
+        words, {.traversalLimitInWords = 2 * words.size() + 1024});
+    decoding.message_ = Decode(reader.getRoot<linkwire::Message>());
+  } catch (const kj::Exception&) {
+    decoding.malformed_ = true;
+  }
+  if (!decoding.message_) decoding.malformed_ = true;
+  return decoding;
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relaylink/peer_links.cc
@@ -0,0 +1,117 @@
+#include "relaylink/peer_links.h"
+
+#include <QTimer>
+
+#include "relaylink/link_codec.h"
+
+namespace jujubefront {
+namespace {
+
+// Unsent bytes above which a peer that does not read is cut off, so that it
+// cannot take the memory of this process.
+constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
+
+}  // namespace
+
+PeerLinks::PeerLinks(SilenceOptions silence, Handlers handlers)
+    : silence_(silence),
+      handlers_(std::move(handlers)),
+      listener_(silence, [this](TcpConnection* s) { OnAccepted(s); }) {}
+
+PeerLinks::~PeerLinks() {
+  for (auto& [id, socket] : inbound_) socket->Close();
+  for (auto& [peer, socket] : outbound_) socket->Close();
+}
+
+bool PeerLinks::Listen(const std::string& address) {
+  return listener_.Listen(address);
+}
+
+void PeerLinks::OnAccepted(TcpConnection* socket) {
+  const std::uint64_t id = ++last_id_;
+  inbound_[id] = socket;
+  socket->SetHandlers({.on_connected_ = {},
+                       .on_data_ = [this, id] { OnInboundData(id); },
+                       .on_flushed_ = {},
+                       .on_end_ =
+                           [this, id](ConnectionEnd) {
+                             inbound_.at(id)->Close();
+                             inbound_.erase(id);
+                             handlers_.on_inbound_end_(id);
+                           }});
+}
+
+void PeerLinks::OnInboundData(std::uint64_t connection_id) {
+  // A handler may end the connection.
+  for (auto found = inbound_.find(connection_id); found != inbound_.end();
+       found = inbound_.find(connection_id)) {
+    LinkDecoding decoding = DecodeLinkMessage(found->second->inbox());
+    if (decoding.malformed_) {
+      found->second->Close();
+      inbound_.erase(found);
+      return handlers_.on_inbound_end_(connection_id);
+    }
+    if (decoding.consumed_ == 0) return;
+    found->second->Consume(decoding.consumed_);
+    handlers_.on_inbound_(connection_id, std::move(*decoding.message_));
+  }
+}
+
+void PeerLinks::Connect(const std::string& peer) {
+  Disconnect(peer);
+  TcpConnection* socket = TcpConnection::Open(peer, silence_);
+  if (socket == nullptr) {
+    QTimer::singleShot(0, this, [this, peer] { OnOutboundEnd(peer); });
+    return;
+  }
+  outbound_[peer] = socket;
+  socket->SetHandlers({.on_connected_ =
+                           [this, peer] { handlers_.on_connected_(peer); },
+                       .on_data_ = [this, peer] { OnOutboundData(peer); },
+                       .on_flushed_ = {},
+                       .on_end_ = [this, peer](
+                                      ConnectionEnd) { OnOutboundEnd(peer); }});
+}
+
+void PeerLinks::Disconnect(const std::string& peer) {
+  const auto found = outbound_.find(peer);
+  if (found == outbound_.end()) return;
+  found->second->Abort();
+  outbound_.erase(found);
+}
+
+void PeerLinks::OnOutboundData(const std::string& peer) {
+  for (auto found = outbound_.find(peer); found != outbound_.end();
+       found = outbound_.find(peer)) {
+    LinkDecoding decoding = DecodeLinkMessage(found->second->inbox());
+    if (decoding.malformed_) return OnOutboundEnd(peer);
+    if (decoding.consumed_ == 0) return;
+    found->second->Consume(decoding.consumed_);
+    handlers_.on_outbound_(peer, std::move(*decoding.message_));
+  }
+}
+
+void PeerLinks::OnOutboundEnd(const std::string& peer) {
+  Disconnect(peer);
+  handlers_.on_disconnected_(peer);
+}
+
+void PeerLinks::Send(const std::string& peer, const LinkMessage& message) {
+  const auto found = outbound_.find(peer);
+  if (found == outbound_.end()) return;
+  if (found->second->unsent_bytes() > kMaxUnsentBytes) {
+    const std::string lost = peer;
+    QTimer::singleShot(0, this, [this, lost] { OnOutboundEnd(lost); });
+    return;
+  }
+  found->second->Write(EncodeLinkMessage(message));
+}
+
+void PeerLinks::SendBack(std::uint64_t connection_id,
+                         const LinkMessage& message) {
+  const auto found = inbound_.find(connection_id);
+  if (found == inbound_.end()) return;
+  found->second->Write(EncodeLinkMessage(message));
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relaylink/peer_links.h
@@ -0,0 +1,57 @@
+#ifndef JUJUBEFRONT_RELAYLINK_PEER_LINKS_H_
+#define JUJUBEFRONT_RELAYLINK_PEER_LINKS_H_
+
+#include <QObject>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "netio/tcp_listener.h"
+#include "relay/message_types.h"
+
+namespace jujubefront {
+
+// Connections between the relays of all hosts. Each relay opens one
+// connection to every peer, on which it sends and gets replies.
+class PeerLinks : public QObject {
+ public:
+  struct Handlers {
+    // On a connection that a peer opened.
+    std::function<void(std::uint64_t connection_id, LinkMessage message)>
+        on_inbound_;
+    std::function<void(std::uint64_t connection_id)> on_inbound_end_;
+    // On the own connection to a peer.
+    std::function<void(const std::string& peer, LinkMessage message)>
+        on_outbound_;
+    std::function<void(const std::string& peer)> on_connected_;
+    std::function<void(const std::string& peer)> on_disconnected_;
+  };
+
+  PeerLinks(SilenceOptions silence, Handlers handlers);
+  ~PeerLinks() override;
+
+  bool Listen(const std::string& address);
+
+  void Connect(const std::string& peer);
+  void Disconnect(const std::string& peer);
+  void Send(const std::string& peer, const LinkMessage& message);
+  void SendBack(std::uint64_t connection_id, const LinkMessage& message);
+
+ private:
+  void OnAccepted(TcpConnection* socket);
+  void OnInboundData(std::uint64_t connection_id);
+  void OnOutboundData(const std::string& peer);
+  void OnOutboundEnd(const std::string& peer);
+
+  SilenceOptions silence_;
+  Handlers handlers_;
+  TcpListener listener_;
+  std::uint64_t last_id_ = 0;
+  std::map<std::uint64_t, TcpConnection*> inbound_;
+  std::map<std::string, TcpConnection*> outbound_;
+};
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_RELAYLINK_PEER_LINKS_H_
--- /dev/null
+++ b/src/routes/routes_types.h
@@ -0,0 +1,57 @@
+#ifndef JUJUBEFRONT_ROUTES_ROUTES_TYPES_H_
+#define JUJUBEFRONT_ROUTES_ROUTES_TYPES_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time_types.h"
+
+namespace jujubefront {
+
+// One service of a weighted split.
+struct WeightedService {
+  std::string service_;
+  double weight_ = 1.0;
+};
+
+// Rule for the requests of one host and path prefix.
+struct RouteRule {
+  std::string name_;
+  std::string host_;
+  std::string path_prefix_;  // begins and ends with a slash
+  bool idempotent_ = false;
+  Duration timeout_ = std::chrono::seconds(5);
+  Duration latency_objective_ = std::chrono::seconds(1);
+  std::uint32_t priority_ = 0;      // 0 is the most important
+  std::uint32_t max_attempts_ = 1;  // backend servers tried for one request
+  std::vector<WeightedService> services_;
+};
+
+// What the document says of one service.
+struct ServiceRule {
+  std::uint32_t max_connections_ = 100;  // from all callers together
+};
+
+// Bounds on what clients may send.
+struct ClientLimits {
+  std::uint32_t max_header_bytes_ = 16 * 1024;
+  std::uint32_t max_body_bytes_ = 64 * 1024 * 1024;
+  Duration header_timeout_ = std::chrono::seconds(3);
+  Duration idle_timeout_ = std::chrono::seconds(15);
+};
+
+// One version of the operators' routing document.
+struct RouteTable {
+  std::uint64_t version_ = 0;  // 0: no document is known
+  std::vector<RouteRule> routes_;
+  std::map<std::string, ServiceRule> services_;
+  ClientLimits limits_;
+  // Routes of each host, longest prefix first.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
+};
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_ROUTES_ROUTES_TYPES_H_
--- /dev/null
+++ b/src/sidecar/decision_log.cc
@@ -0,0 +1,159 @@
+#include "sidecar/decision_log.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace jujubefront {
+namespace {
+
+log4cxx::LoggerPtr DecisionLogger() {
+  static const log4cxx::LoggerPtr kLogger =
+      log4cxx::Logger::getLogger("jujubefront.decisions");
+  return kLogger;
+}
+
+// A reader that does not keep up must not stop the process.
+bool OutputTakesALine() {
+  pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+void WriteLine(const QJsonObject& line) {
+  if (!OutputTakesALine()) return;
+  const QByteArray text = QJsonDocument(line).toJson(QJsonDocument::Compact);
+  LOG4CXX_INFO(DecisionLogger(), text.toStdString());
+}
+
+QJsonValue ToJson(const DecisionValue& value) {
+  if (const auto* text = std::get_if<std::string>(&value)) {
+    return QString::fromUtf8(text->data(),
+                             static_cast<qsizetype>(text->size()));
+  }
+  if (const auto* number = std::get_if<std::int64_t>(&value)) {
+    return static_cast<qint64>(*number);
+  }
+  return std::get<double>(value);
+}
+
+}  // namespace
+
+const char* DecisionName(DecisionKind kind) {
+  switch (kind) {
+    case DecisionKind::kAnswered:
+      return "answered";
+    case DecisionKind::kRefused:
+      return "refused";
+    case DecisionKind::kFailed:
+      return "failed";
+    case DecisionKind::kSent:
+      return "sent";
+    case DecisionKind::kRetried:
+      return "retried";
+    case DecisionKind::kCancelled:
+      return "cancelled";
+    case DecisionKind::kRunRefused:
+      return "run_refused";
+    case DecisionKind::kRunBroken:
+      return "run_broken";
+    case DecisionKind::kBackendChanged:
+      return "backend_changed";
+    case DecisionKind::kPeerChanged:
+      return "peer_changed";
+    case DecisionKind::kTableChanged:
+      return "table_changed";
+    case DecisionKind::kStoreLost:
+      return "store_lost";
+    case DecisionKind::kStoreBack:
+      return "store_back";
+    case DecisionKind::kAdmissionChanged:
+      return "admission_changed";
+    case DecisionKind::kSuspected:
+      return "suspected";
+    case DecisionKind::kStopping:
+      return "stopping";
+    case DecisionKind::kReloaded:
+      return "reloaded";
+  }
+  return "decision";
+}
+
+DecisionLog::DecisionLog(DecisionLogOptions options) : options_(options) {
+  const auto layout =
+      std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+  log4cxx::BasicConfigurator::configure(
+      std::make_shared<log4cxx::ConsoleAppender>(
+          layout, log4cxx::ConsoleAppender::getSystemOut()));
+}
+
+bool DecisionLog::MayWrite(Timestamp now, DecisionKind kind) {
+  if (kind == DecisionKind::kAnswered &&
+      answered_++ % options_.answered_sample_ != 0) {
+    return false;
+  }
+  Budget& budget = budgets_.at(static_cast<std::size_t>(kind));
+  const auto second = std::chrono::floor<std::chrono::seconds>(now);
+  if (budget.second_ != second) {
+    budget.second_ = second;
+    budget.written_ = 0;
+  }
+  if (budget.written_ >= options_.lines_per_second_) {
+    ++budget.dropped_;
+    return false;
+  }
+  ++budget.written_;
+  return true;
+}
+
+void DecisionLog::Write(Timestamp now, const Decision& decision) {
+  if (!MayWrite(now, decision.kind_)) return;
+  Budget& budget = budgets_.at(static_cast<std::size_t>(decision.kind_));
+  QJsonObject line;
+  line["at_us"] = static_cast<qint64>(now.time_since_epoch().count());
+  line["event"] = DecisionName(decision.kind_);
+  if (!decision.trace_id_.empty()) {
+    line["request"] = QString::fromStdString(decision.trace_id_);
+  }
+  for (const auto& [name, value] : decision.inputs_) {
+    line[QString::fromUtf8(name.data(), static_cast<qsizetype>(name.size()))] =
+        ToJson(value);
+  }
+  if (budget.dropped_ > 0) {
+    line["dropped_before"] = static_cast<qint64>(budget.dropped_);
+    budget.dropped_ = 0;
+  }
+  WriteLine(line);
+}
+
+void DecisionLog::WriteStart(const RelayOptions& options) {
+  QJsonObject line;
+  line["event"] = "start";
+  line["version"] = JUJUBEFRONT_VERSION;
+  line["address"] = QString::fromStdString(options.address_);
+  line["zone"] = QString::fromStdString(options.zone_);
+  line["service"] = QString::fromStdString(options.service_);
+  line["boot"] = QString::number(options.boot_);
+  WriteLine(line);
+}
+
+void DecisionLog::WriteStop(std::int64_t cut_off) {
+  QJsonObject line;
+  line["event"] = "stop";
+  line["cut_off"] = static_cast<qint64>(cut_off);
+  WriteLine(line);
+}
+
+void DecisionLog::WriteFault(const std::string& text) {
+  QJsonObject line;
+  line["event"] = "fault";
+  line["why"] = QString::fromStdString(text);
+  WriteLine(line);
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/sidecar/relay_metrics.cc
@@ -0,0 +1,90 @@
+#include "sidecar/relay_metrics.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace jujubefront {
+namespace {
+
+void Counter(std::ostringstream& text, const char* name, std::uint64_t value) {
+  text << "jujubefront_relay_" << name << "_total " << value << '\n';
+}
+
+void Gauge(std::ostringstream& text, const char* name, double value) {
+  text << "jujubefront_relay_" << name << ' ' << value << '\n';
+}
+
+}  // namespace
+
+void RelayMetrics::Observe(const AnswerRequest& answer) {
+  const bool known = routes_.contains(answer.route_);
+  const std::string& name = known || routes_.size() < kMaxMeasuredRoutes
+                                ? answer.route_
+                                : "other";
+  Series& series = routes_[name];
+  const double seconds = InSeconds(answer.elapsed_);
+  const auto bucket =
+      std::lower_bound(kBounds.begin(), kBounds.end(), seconds);
+  ++series.buckets_.at(
+      static_cast<std::size_t>(bucket - kBounds.begin()));
+  series.sum_ += seconds;
+  ++series.by_status_[answer.response_.status_];
+}
+
+std::string RelayMetrics::Render(const RelayState& state) const {
+  std::ostringstream text;
+  for (const auto& [route, series] : routes_) {
+    const std::string label = "{route=\"" + route + "\"";
+    for (const auto& [status, count] : series.by_status_) {
+      text << "jujubefront_relay_answers_total" << label << ",status=\""
+           << status << "\"} " << count << '\n';
+    }
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < kBounds.size(); ++i) {
+      total += series.buckets_[i];
+      text << "jujubefront_relay_latency_seconds_bucket" << label << ",le=\""
+           << kBounds[i] << "\"} " << total << '\n';
+    }
+    total += series.buckets_.back();
+    text << "jujubefront_relay_latency_seconds_bucket" << label
+         << ",le=\"+Inf\"} " << total << '\n'
+         << "jujubefront_relay_latency_seconds_sum" << label << "} "
+         << series.sum_ << '\n'
+         << "jujubefront_relay_latency_seconds_count" << label << "} " << total
+         << '\n';
+  }
+  const RelayCounters& counters = state.counters_;
+  Counter(text, "requests", counters.requests_);
+  Counter(text, "calls", counters.calls_);
+  Counter(text, "answered", counters.answered_);
+  Counter(text, "refused", counters.refused_);
+  Counter(text, "refused_at_entry", counters.refused_at_entry_);
+  Counter(text, "failed", counters.failed_);
+  Counter(text, "timed_out", counters.timed_out_);
+  Counter(text, "cancelled", counters.cancelled_);
+  Counter(text, "unrouted", counters.unrouted_);
+  Counter(text, "sends", counters.sends_);
+  Counter(text, "resends", counters.resends_);
+  Counter(text, "resends_denied", counters.resends_denied_);
+  Counter(text, "zone_crossings", counters.zone_crossings_);
+  Counter(text, "region_crossings", counters.region_crossings_);
+  Counter(text, "runs", counters.runs_);
+  Counter(text, "runs_refused", counters.runs_refused_);
+  Counter(text, "runs_broken", counters.runs_broken_);
+  Counter(text, "late_replies", counters.late_replies_);
+  Counter(text, "store_calls", counters.store_calls_);
+  Counter(text, "store_failures", counters.store_failures_);
+  Counter(text, "statuses_sent", counters.statuses_sent_);
+  Gauge(text, "running", state.running_);
+  Gauge(text, "waiting", static_cast<double>(state.waiting_.runs_.size()));
+  Gauge(text, "slots", state.backend_.slots_);
+  Gauge(text, "table_version", static_cast<double>(state.table_.version_));
+  Gauge(text, "ready", state.ready_ ? 1 : 0);
+  for (const auto& [route, fraction] : state.admitted_) {
+    text << "jujubefront_relay_admitted{route=\"" << route << "\"} "
+         << fraction << '\n';
+  }
+  return text.str();
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/sidecar/relay_metrics.h
@@ -0,0 +1,40 @@
+#ifndef JUJUBEFRONT_SIDECAR_RELAY_METRICS_H_
+#define JUJUBEFRONT_SIDECAR_RELAY_METRICS_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "relay/relay_types.h"
+
+namespace jujubefront {
+
+// Most routes with series of their own; the rest share "other".
+inline constexpr std::size_t kMaxMeasuredRoutes = 64;
+
+// Counts and latency histograms of answers, by route.
+class RelayMetrics {
+ public:
+  void Observe(const AnswerRequest& answer);
+
+  // Everything in the Prometheus text format.
+  std::string Render(const RelayState& state) const;
+
+ private:
+  // Upper bounds of the buckets, in seconds.
+  static constexpr std::array<double, 12> kBounds = {
+      0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 6.0};
+
+  struct Series {
+    std::array<std::uint64_t, kBounds.size() + 1> buckets_{};
+    double sum_ = 0.0;
+    std::map<int, std::uint64_t> by_status_;
+  };
+
+  std::map<std::string, Series> routes_;
+};
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_SIDECAR_RELAY_METRICS_H_
--- /dev/null
+++ b/src/sidecar/relay_shell.cc
@@ -0,0 +1,220 @@
+#include "sidecar/relay_shell.h"
+
+#include <ctime>
+
+namespace jujubefront {
+namespace {
+
+constexpr int kCutOffExitCode = 3;
+
+BackendBreak BreakOf(Http1Failure failure) {
+  switch (failure) {
+    case Http1Failure::kNotSent:
+      return BackendBreak::kNotSent;
+    case Http1Failure::kBroken:
+      return BackendBreak::kBroken;
+    case Http1Failure::kMalformed:
+      return BackendBreak::kMalformed;
+  }
+  return BackendBreak::kBroken;
+}
+
+}  // namespace
+
+// Carries out one effect.
+struct RelayShell::EffectRunner {
+  RelayShell& shell_;
+
+  void operator()(AnswerRequest& effect) const {
+    if (effect.own_) {
+      shell_.dialect_.complete_own_response_(effect.response_,
+                                             effect.trace_id_);
+    }
+    shell_.metrics_.Observe(effect);
+    shell_.clients_.Answer(effect.request_id_, std::move(effect.response_));
+  }
+  void operator()(SendToPeer& effect) const {
+    shell_.links_.Send(effect.peer_, effect.message_);
+  }
+  void operator()(SendBack& effect) const {
+    shell_.links_.SendBack(effect.connection_id_, effect.message_);
+  }
+  void operator()(ConnectPeer& effect) const {
+    shell_.links_.Connect(effect.peer_);
+  }
+  void operator()(DisconnectPeer& effect) const {
+    shell_.links_.Disconnect(effect.peer_);
+  }
+  void operator()(StartRun& effect) const {
+    shell_.dialect_.prepare_run_(effect.request_,
+                                 {.instance_ = effect.instance_,
+                                  .caller_service_ = effect.caller_service_,
+                                  .remaining_ = effect.remaining_});
+    shell_.backend_.SetAddress(effect.address_);
+    shell_.backend_.Send(effect.run_id_, effect.request_);
+  }
+  void operator()(AbortRun& effect) const {
+    shell_.backend_.Abort(effect.run_id_);
+  }
+  void operator()(ReadTable&) const { shell_.store_.read_table_(); }
+  void operator()(AwaitTable& effect) const {
+    shell_.store_.await_table_(effect.from_);
+  }
+  void operator()(AnnounceNode&) const { shell_.store_.announce_(); }
+  void operator()(ReadNodes&) const { shell_.store_.read_nodes_(); }
+  void operator()(ApplyClientLimits& effect) const {
+    shell_.clients_.SetOptions(shell_.ServerOptions(effect.limits_));
+  }
+  void operator()(SetReady& effect) const { shell_.ready_ = effect.ready_; }
+  void operator()(CloseClients&) const { shell_.clients_.StartClosing(); }
+  void operator()(EndProcess& effect) const {
+    shell_.log_.WriteStop(static_cast<std::int64_t>(effect.cut_off_));
+    shell_.on_exit_(effect.cut_off_ == 0 ? 0 : kCutOffExitCode);
+  }
+  void operator()(Decision& effect) const {
+    shell_.log_.Write(Now(), effect);
+  }
+};
+
+RelayShell::RelayShell(RelayShellOptions options, Dialect dialect,
+                       std::function<void(int)> on_exit)
+    : options_(std::move(options)),
+      dialect_(std::move(dialect)),
+      on_exit_(std::move(on_exit)),
+      log_(options_.log_),
+      clients_(ServerOptions({}),
+               {.on_request_ =
+                    [this](std::uint64_t id, Http1Request request,
+                           std::uint32_t remote_ip) {
+                      OnRequest(id, std::move(request), remote_ip);
+                    },
+                .on_client_gone_ =
+                    [this](std::uint64_t id) { Feed(RequesterGone{id}); }}),
+      backend_({.correlation_header_ = dialect_.correlation_header_},
+               {.on_response_ =
+                    [this](std::uint64_t run_id, Http1Response response) {
+                      OnBackendResponse(run_id, std::move(response));
+                    },
+                .on_failure_ =
+                    [this](std::uint64_t run_id, Http1Failure failure) {
+                      Feed(BackendBroke{.run_id_ = run_id,
+                                        .break_ = BreakOf(failure)});
+                    }}),
+      links_(options_.link_silence_, LinkHandlers()) {
+  wake_.setSingleShot(true);
+  wake_.setTimerType(Qt::PreciseTimer);
+  connect(&wake_, &QTimer::timeout, this, [this] {
+    wake_at_.reset();
+    Feed(RelayTimeReached{});
+  });
+}
+
+RelayShell::~RelayShell() = default;
+
+std::optional<std::string> RelayShell::Start() {
+  if (!links_.Listen(options_.relay_.address_)) return options_.relay_.address_;
+  if (!clients_.Listen(options_.client_address_)) {
+    return options_.client_address_;
+  }
+  log_.WriteStart(options_.relay_);
+  std::vector<RelayEffect> effects;
+  state_ = MakeRelay(options_.relay_, Now(), effects);
+  for (RelayEffect& effect : effects) std::visit(EffectRunner{*this}, effect);
+  ArmWake();
+  return std::nullopt;
+}
+
+Timestamp RelayShell::Now() {
+  // Goes on while the machine is suspended, and no correction of the time of
+  // day moves it.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Timestamp(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+void RelayShell::Feed(RelayEventBody body) {
+  std::vector<RelayEffect> effects =
+      StepRelay(state_, options_.relay_, {Now(), std::move(body)});
+  for (RelayEffect& effect : effects) std::visit(EffectRunner{*this}, effect);
+  ArmWake();
+}
+
+void RelayShell::Reload(const RelayOptions& relay) {
+  options_.relay_ = relay;
+  Feed(SettingsReloaded{});
+}
+
+void RelayShell::ArmWake() {
+  const auto wake = NextRelayWake(state_);
+  // An earlier wake-up than needed costs less than arming a timer for each
+  // event.
+  if (!wake || (wake_at_ && *wake_at_ <= *wake)) return;
+  wake_at_ = wake;
+  const Duration wait = std::max(Duration::zero(), *wake - Now());
+  wake_.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
+}
+
+Http1ServerOptions RelayShell::ServerOptions(const ClientLimits& limits) const {
+  return {.limits_ = {.max_header_bytes_ = limits.max_header_bytes_,
+                      .max_body_bytes_ = limits.max_body_bytes_},
+          .header_timeout_ = limits.header_timeout_,
+          .idle_timeout_ = limits.idle_timeout_,
+          .max_connections_ = options_.max_client_connections_,
+          .silence_ = options_.client_silence_};
+}
+
+PeerLinks::Handlers RelayShell::LinkHandlers() {
+  return {.on_inbound_ =
+              [this](std::uint64_t id, LinkMessage message) {
+                Feed(LinkReceived{.connection_id_ = id,
+                                  .message_ = std::move(message)});
+              },
+          .on_inbound_end_ =
+              [this](std::uint64_t id) { Feed(LinkEnded{id}); },
+          .on_outbound_ =
+              [this](const std::string& peer, LinkMessage message) {
+                if (const auto* text = std::get_if<TableText>(&message)) {
+                  return FeedTable(*text);
+                }
+                Feed(LinkReceived{.peer_ = peer,
+                                  .message_ = std::move(message)});
+              },
+          .on_connected_ =
+              [this](const std::string& peer) { Feed(PeerConnected{peer}); },
+          .on_disconnected_ = [this](const std::string& peer) {
+            Feed(PeerDisconnected{peer});
+          }};
+}
+
+void RelayShell::FeedTable(const TableText& text) {
+  std::optional<RouteTable> table = dialect_.decode_table_(text.text_);
+  if (!table) return log_.WriteFault("document of a peer cannot be read");
+  Feed(TableRead{.table_ = std::move(*table), .text_ = text.text_});
+}
+
+void RelayShell::OnRequest(std::uint64_t id, Http1Request request,
+                           std::uint32_t remote_ip) {
+  RequestFacts facts = dialect_.read_request_(request);
+  const std::string* host = FindHeader(request.headers_, "Host");
+  Feed(RequestArrived{.request_id_ = id,
+                      .trace_id_ = std::move(facts.trace_id_),
+                      .host_ = host == nullptr ? "" : *host,
+                      .remaining_ = facts.remaining_,
+                      .from_own_host_ = remote_ip == options_.own_ip_,
+                      .request_ = std::move(request)});
+}
+
+void RelayShell::OnBackendResponse(std::uint64_t run_id,
+                                   Http1Response response) {
+  const ResponseFacts facts = dialect_.read_response_(response);
+  Feed(BackendResponded{.run_id_ = run_id,
+                        .response_ = std::move(response),
+                        .not_run_ = facts.not_run_,
+                        .spoilt_ = facts.spoilt_});
+}
+
+std::string RelayShell::Metrics() const { return metrics_.Render(state_); }
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/sidecar/relay_shell.h
@@ -0,0 +1,123 @@
+#ifndef JUJUBEFRONT_SIDECAR_RELAY_SHELL_H_
+#define JUJUBEFRONT_SIDECAR_RELAY_SHELL_H_
+
+#include <QObject>
+#include <QTimer>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "http1/http1_client.h"
+#include "http1/http1_server.h"
+#include "relay/relay.h"
+#include "relaylink/peer_links.h"
+#include "sidecar/decision_log.h"
+#include "sidecar/relay_metrics.h"
+
+namespace jujubefront {
+
+// What a request says of itself.
+struct RequestFacts {
+  std::string trace_id_;
+  std::optional<Duration> remaining_;
+};
+
+// What a backend server has to be told with a request.
+struct RunFacts {
+  std::string instance_;
+  std::string caller_service_;
+  Duration remaining_ = Duration::zero();
+};
+
+// What a response of a backend server says of itself.
+struct ResponseFacts {
+  bool not_run_ = false;
+  bool spoilt_ = false;
+};
+
+// Headers of the place where the relay runs.
+struct Dialect {
+  std::string correlation_header_;  // repeated by backend servers
+  std::function<RequestFacts(const Http1Request&)> read_request_;
+  std::function<void(Http1Request&, const RunFacts&)> prepare_run_;
+  std::function<ResponseFacts(const Http1Response&)> read_response_;
+  // Completes a response that the relay made itself.
+  std::function<void(Http1Response&, const std::string& trace_id)>
+      complete_own_response_;
+  // Decodes a routing document; nothing when it cannot be read.
+  std::function<std::optional<RouteTable>(const std::string& text)>
+      decode_table_;
+};
+
+// Calls to the store. Each leads to one event or more.
+struct StorePort {
+  std::function<void()> read_table_;
+  std::function<void(std::uint64_t from)> await_table_;
+  std::function<void()> announce_;
+  std::function<void()> read_nodes_;
+};
+
+// Addresses and bounds of one relay process.
+struct RelayShellOptions {
+  RelayOptions relay_;
+  std::string client_address_;  // where requests arrive
+  std::uint32_t own_ip_ = 0;
+  std::size_t max_client_connections_ = 2500;
+  SilenceOptions link_silence_;
+  SilenceOptions client_silence_;
+  DecisionLogOptions log_;
+};
+
+// Turns I/O into events and effects into I/O. It decides nothing.
+class RelayShell : public QObject {
+ public:
+  RelayShell(RelayShellOptions options, Dialect dialect,
+             std::function<void(int)> on_exit);
+  ~RelayShell() override;
+
+  void SetStore(StorePort store) { store_ = std::move(store); }
+
+  // Binds the addresses and starts the reducer. Returns the address that
+  // could not be bound, or nothing.
+  std::optional<std::string> Start();
+
+  void Feed(RelayEventBody body);
+
+  // Takes over settings that may change while the process runs.
+  void Reload(const RelayOptions& relay);
+
+  bool ready() const { return ready_; }
+  std::string Metrics() const;
+
+ private:
+  struct EffectRunner;
+
+  static Timestamp Now();
+  void ArmWake();
+  void OnRequest(std::uint64_t id, Http1Request request,
+                 std::uint32_t remote_ip);
+  void OnBackendResponse(std::uint64_t run_id, Http1Response response);
+  Http1ServerOptions ServerOptions(const ClientLimits& limits) const;
+  PeerLinks::Handlers LinkHandlers();
+  void FeedTable(const TableText& text);
+
+  RelayShellOptions options_;
+  Dialect dialect_;
+  std::function<void(int)> on_exit_;
+  StorePort store_;
+  RelayState state_;
+  QTimer wake_;
+  std::optional<Timestamp> wake_at_;
+  bool ready_ = false;
+  DecisionLog log_;
+  RelayMetrics metrics_;
+  Http1Server clients_;
+  Http1Client backend_;
+  PeerLinks links_;
+};
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_SIDECAR_RELAY_SHELL_H_
