Relay: silence of a peer counts from the first request that waits

Cause: a peer with nothing in flight sends nothing on our connection, so the first request after a pause met a peer that already counted as silent, was moved away at once and ended as 502. Ruled out: lost connections (none were reset).

--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -11,8 +11,6 @@
 namespace jujubefront {
 namespace {
 
-// Hold time assumed of a run that nobody has measured yet.
-constexpr Duration kUnknownHold = std::chrono::milliseconds(50);
 constexpr Duration kShortRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
 // Clients honour Retry-After up to this part of the time they have left.
@@ -146,7 +144,20 @@
       return Duration(static_cast<std::int64_t>(profile.slot_seconds_ * 1e6));
     }
   }
-  return kUnknownHold;
+  return Duration::zero();
+}
+
+// A backend server that has not run the route yet is taken to be as fast as
+// the fastest, so that it gets the requests that tell.
+void AssumeUnknownHolds(std::vector<Place>& places) {
+  Duration fastest = Duration::max();
+  for (const Place& place : places) {
+    if (place.hold_ > Duration::zero()) fastest = std::min(fastest, place.hold_);
+  }
+  if (fastest == Duration::max()) return;
+  for (Place& place : places) {
+    if (place.hold_ == Duration::zero()) place.hold_ = fastest;
+  }
 }
 
 bool TakesRuns(const RelayStep& step, const Peer& peer,
@@ -176,6 +187,7 @@
          .hold_ = HoldAt(peer, request.route_),
          .failure_share_ = FailureShare(peer.experience_, step.now_)});
   }
+  AssumeUnknownHolds(places);
   return places;
 }
 
@@ -216,6 +228,8 @@
                                           .peer_ = peer.address_,
                                           .route_ = request.route_,
                                           .sent_at_ = step.now_};
+  // Silence counts from the first request that waits for an answer.
+  if (peer.in_flight_ == 0) peer.last_heard_ = step.now_;
   ++peer.in_flight_;
   ++peer.sent_since_;
   ++step.state_.counters_.sends_;
