Calls: found by where routes arrive, counted by a fit; retries paid for by tree

Routes that arrive at the hosts of one service only are calls; their number per run comes from a least-squares fit of window counts. Ruled out: more tolerance on deadlines (clients' fall into it by chance).

--- a/src/allocation/allocation.cc
+++ b/src/allocation/allocation.cc
@@ -5,6 +5,16 @@
 namespace jujubefront {
 namespace {
 
+constexpr double kBusyWeight = 0.5;
+// Runs a slot from which a service counts as pressed, and from which what is
+// given out of it shrinks or grows again.
+constexpr double kPressedBusy = 0.8;
+constexpr double kWaitingBusy = 1.05;
+constexpr double kRelaxedBusy = 0.9;
+constexpr double kShrink = 0.9;
+constexpr double kGrow = 1.05;
+constexpr double kLeastCorrection = 0.4;
+
 void AddCost(const std::map<std::string, RouteProfile>& profiles,
              const std::string& route, double runs, std::uint32_t depth_left,
              std::map<std::string, double>& cost) {
@@ -17,6 +27,17 @@
   }
 }
 
+void AddRuns(const std::map<std::string, RouteProfile>& profiles,
+             const std::string& route, double runs, std::uint32_t depth_left,
+             std::map<std::string, double>& total) {
+  const auto found = profiles.find(route);
+  if (found == profiles.end() || depth_left == 0) return;
+  total[found->second.service_] += runs;
+  for (const auto& [called, times] : found->second.calls_) {
+    AddRuns(profiles, called, runs * times, depth_left - 1, total);
+  }
+}
+
 struct Claim {
   const RouteDemand* demand_ = nullptr;
   std::map<std::string, double> cost_;
@@ -58,6 +79,29 @@
   return cost;
 }
 
+std::map<std::string, double> TreeRuns(
+    const std::map<std::string, RouteProfile>& profiles,
+    const std::string& route, const AllocationOptions& options) {
+  std::map<std::string, double> runs;
+  AddRuns(profiles, route, 1.0, options.max_depth_, runs);
+  return runs;
+}
+
+ServicePressure UpdatePressure(const ServicePressure& before, double busy) {
+  ServicePressure after = before;
+  after.busy_ += kBusyWeight * (busy - after.busy_);
+  if (busy > kWaitingBusy) {
+    after.correction_ = std::max(kLeastCorrection, after.correction_ * kShrink);
+  } else if (busy < kRelaxedBusy) {
+    after.correction_ = std::min(1.0, after.correction_ * kGrow);
+  }
+  return after;
+}
+
+bool IsPressed(const ServicePressure& pressure) {
+  return pressure.busy_ > kPressedBusy || pressure.correction_ < 1.0;
+}
+
 std::map<std::string, double> Allocate(
     const std::map<std::string, RouteProfile>& profiles,
     const std::vector<RouteDemand>& demands,
--- a/src/allocation/allocation.h
+++ b/src/allocation/allocation.h
@@ -38,6 +38,24 @@
     const std::map<std::string, RouteProfile>& profiles,
     const std::string& route, const AllocationOptions& options);
 
+// Runs that one run of a route leads to at each service, itself included.
+std::map<std::string, double> TreeRuns(
+    const std::map<std::string, RouteProfile>& profiles,
+    const std::string& route, const AllocationOptions& options);
+
+// How busy a service is, and what follows for what is given out of it.
+struct ServicePressure {
+  double busy_ = 0.0;        // smoothed runs in progress and waiting, a slot
+  double correction_ = 1.0;  // part of the slots that is given out
+};
+
+// Takes in a measurement. Where work waits although the measured costs say
+// that it fits, less is given out until the waiting ends.
+ServicePressure UpdatePressure(const ServicePressure& before, double busy);
+
+// Whether the service is so busy that its slots have to be divided up.
+bool IsPressed(const ServicePressure& pressure);
+
 // Part of the demand of each route that fits, in [0, 1]: every service gives
 // its slots to the most important routes first, routes of one priority share
 // alike, and a request is admitted only where all its calls fit too. Answers
--- /dev/null
+++ b/src/callgraph/callgraph.cc
@@ -0,0 +1,124 @@
+#include "callgraph/callgraph.h"
+
+#include <algorithm>
+
+namespace jujubefront {
+namespace {
+
+// Weight that a window keeps when the next one is added.
+constexpr double kDecay = 0.97;
+constexpr double kRegularisation = 1.0;
+// Routes whose sum has decayed below this are forgotten, and at most so many
+// are kept, since the fit costs the square of their number.
+constexpr double kLeastSquare = 0.5;
+constexpr std::size_t kMaxRoutes = 8;
+constexpr int kRounds = 30;
+// Calls of a run below this are taken for noise.
+constexpr double kLeastCalls = 0.15;
+// Part of a route's arrivals that a single service must account for.
+constexpr double kSingleServiceShare = 0.95;
+// Arrivals a second below which nothing is concluded.
+constexpr double kLeastArrivals = 1.0;
+
+void Decay(std::map<std::string, std::map<std::string, double>>& sums) {
+  for (auto& [first, row] : sums) {
+    for (auto& [second, sum] : row) sum *= kDecay;
+  }
+}
+
+double At(const std::map<std::string, double>& row, const std::string& key);
+
+void Forget(CallFit& fit, const std::string& route) {
+  fit.squares_.erase(route);
+  for (auto& [other, row] : fit.squares_) row.erase(route);
+  for (auto& [called, row] : fit.products_) row.erase(route);
+}
+
+void Prune(CallFit& fit) {
+  std::vector<std::pair<double, std::string>> weights;
+  for (const auto& [route, row] : fit.squares_) {
+    weights.emplace_back(At(row, route), route);
+  }
+  std::sort(weights.rbegin(), weights.rend());
+  for (std::size_t i = 0; i < weights.size(); ++i) {
+    if (i < kMaxRoutes && weights[i].first >= kLeastSquare) continue;
+    Forget(fit, weights[i].second);
+  }
+  std::erase_if(fit.products_,
+                [](const auto& entry) { return entry.second.empty(); });
+}
+
+double At(const std::map<std::string, double>& row, const std::string& key) {
+  const auto found = row.find(key);
+  return found == row.end() ? 0.0 : found->second;
+}
+
+// Solves one called route for all run routes.
+std::map<std::string, double> Solve(
+    const CallFit& fit, const std::map<std::string, double>& products) {
+  std::map<std::string, double> solution;
+  for (int round = 0; round < kRounds; ++round) {
+    for (const auto& [route, row] : fit.squares_) {
+      double rest = At(products, route);
+      for (const auto& [other, sum] : row) {
+        if (other != route) rest -= sum * At(solution, other);
+      }
+      const double square = At(row, route) + kRegularisation;
+      solution[route] = std::max(0.0, rest / square);
+    }
+  }
+  return solution;
+}
+
+}  // namespace
+
+void AddWindow(CallFit& fit, const CallWindow& window) {
+  Decay(fit.squares_);
+  Decay(fit.products_);
+  for (const auto& [first, runs] : window.runs_) {
+    for (const auto& [second, others] : window.runs_) {
+      fit.squares_[first][second] += runs * others;
+    }
+    for (const auto& [called, calls] : window.calls_) {
+      fit.products_[called][first] += runs * calls;
+    }
+  }
+  Prune(fit);
+}
+
+std::map<std::string, std::map<std::string, double>> CallsByRoute(
+    const CallFit& fit) {
+  std::map<std::string, std::map<std::string, double>> calls;
+  for (const auto& [called, products] : fit.products_) {
+    for (const auto& [route, mean] : Solve(fit, products)) {
+      if (mean >= kLeastCalls) calls[route][called] = mean;
+    }
+  }
+  return calls;
+}
+
+std::set<std::string> FindCalledRoutes(
+    const std::vector<RouteArrivals>& arrivals) {
+  std::map<std::string, std::map<std::string, double>> by_route;
+  std::map<std::string, double> by_service;
+  for (const RouteArrivals& entry : arrivals) {
+    by_route[entry.route_][entry.host_service_] += entry.per_second_;
+    by_service[entry.host_service_] += entry.per_second_;
+  }
+  std::set<std::string> called;
+  if (by_service.size() < 2) return called;
+  for (const auto& [route, services] : by_route) {
+    double total = 0.0;
+    double most = 0.0;
+    for (const auto& [service, rate] : services) {
+      total += rate;
+      most = std::max(most, rate);
+    }
+    if (total >= kLeastArrivals && most >= kSingleServiceShare * total) {
+      called.insert(route);
+    }
+  }
+  return called;
+}
+
+}  // namespace jujubefront
--- /dev/null
+++ b/src/callgraph/tests/callgraph_tests.cc
@@ -0,0 +1,1 @@
+#include <cppunit/extensions/HelperMacros.h>
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -27,7 +27,7 @@
 struct PlacementOptions {
   // Round trips, and what a crossing costs in bytes, as time.
   Duration zone_price_ = std::chrono::milliseconds(25);
-  Duration region_price_ = std::chrono::milliseconds(400);
+  Duration region_price_ = std::chrono::milliseconds(2000);
   // Part of the slots above which a backend server slows down.
   double crowded_share_ = 0.9;
 };
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -5,7 +5,7 @@
 #include "http1/http1_codec.h"
 #include "placement/placement.h"
 #include "relay/internal/relay_step.h"
-#include "retries/retries.h"
+#include "retries/retry_allowance.h"
 #include "routes/routes.h"
 
 namespace jujubefront {
@@ -18,6 +18,8 @@
 // Time in which own experience of failures halves.
 constexpr double kFailureHalfLifeSeconds = 1.5;
 constexpr double kFailureWeight = 0.25;
+// Retries that are left to the most important requests.
+constexpr double kRetryReserve = 0.5;
 
 Http1Response OwnResponse(int status, Duration retry_after) {
   Http1Response response{.status_ = status};
@@ -43,10 +45,12 @@
 }
 
 void NoteParent(RelayStep& step, const OpenRequest& request, bool failed) {
-  if (request.parent_run_ == 0) return;
+  if (!request.is_call_ || !failed) return;
   const auto parent = step.state_.runs_.find(request.parent_run_);
-  if (parent != step.state_.runs_.end() && failed) {
+  if (parent != step.state_.runs_.end()) {
     parent->second.calls_failed_ = true;
+  } else {
+    step.state_.call_failed_at_ = step.now_;
   }
 }
 
@@ -194,6 +198,7 @@
 RunOrder MakeOrder(RelayStep& step, const OpenRequest& request,
                    const Peer& peer) {
   return {.send_id_ = request.send_id_,
+          .sent_at_ = step.now_.time_since_epoch(),
           .instance_ = peer.status_.instance_,
           .route_ = request.route_,
           .caller_service_ = step.options_.service_,
@@ -264,10 +269,12 @@
   if (request.sends_ == 0) return true;
   if (request.may_have_run_ && !request.idempotent_) return false;
   if (request.sends_ >= request.max_attempts_) return false;
-  std::uint32_t credit = 1;
+  std::map<std::string, double> cost = TreeRuns(
+      step.state_.profiles_, request.route_, step.options_.allocation_);
+  cost[request.service_] = std::max(1.0, cost[request.service_]);
+  const double reserve = request.priority_ == 0 ? 0.0 : kRetryReserve;
   const bool granted =
-      SpendRetry(step.state_.retry_budgets_[request.service_],
-                 step.options_.retries_, credit, request.sends_);
+      SpendRetries(step.state_.retry_budgets_, cost, reserve);
   ++(granted ? step.state_.counters_.resends_
              : step.state_.counters_.resends_denied_);
   return granted;
@@ -379,15 +386,16 @@
   request.deadline_ = step.now_ + std::min(remaining, route.timeout_);
   request.objective_ = route.latency_objective_;
   request.content_ = ContentOf(arrived, step.options_.service_);
-  request.parent_run_ = FindParentRun(step, step.now_ + remaining);
-  request.is_call_ = request.parent_run_ != 0;
+  const Origin origin = FindOrigin(step, route, step.now_ + remaining);
+  request.parent_run_ = origin.parent_run_;
+  request.is_call_ = origin.is_call_;
   request.service_ =
       PickService(route, NextUnit(step.state_.random_));
   request.request_ = std::move(arrived.request_);
   RemoveConnectionHeaders(request.request_.headers_);
   request.objective_at_ = step.now_ + route.latency_objective_;
-  if (request.is_call_) return request;
   CountDemand(step, route, remaining);
+  if (request.is_call_) return request;
   const Duration usual = step.state_.demands_[route.name_].usual_deadline_;
   request.objective_at_ -= std::max(Duration::zero(), usual - remaining);
   return request;
@@ -400,14 +408,6 @@
   return NextUnit(step.state_.random_) < fraction->second;
 }
 
-void CountCall(RelayStep& step, const OpenRequest& request) {
-  ++step.state_.counters_.calls_;
-  const auto parent = step.state_.runs_.find(request.parent_run_);
-  if (parent == step.state_.runs_.end()) return;
-  ++parent->second.calls_[request.route_];
-  // A call is as important as the request that it serves.
-}
-
 }  // namespace
 
 void OnRequest(RelayStep& step, RequestArrived& arrived) {
@@ -427,7 +427,8 @@
       MakeRequest(step, arrived, *route);
   Arm(step, request.deadline_, RelayTimerKind::kRequestDeadline, id);
   if (request.is_call_) {
-    CountCall(step, request);
+    ++step.state_.counters_.calls_;
+    // A call is as important as the request that it serves.
     const auto parent = step.state_.runs_.find(request.parent_run_);
     if (parent != step.state_.runs_.end()) {
       request.priority_ = parent->second.order_.priority_;
@@ -441,7 +442,7 @@
     return Refuse(step, request, "not admitted under load");
   }
   EarnRetry(step.state_.retry_budgets_[request.service_],
-            step.options_.retries_);
+            step.state_.retry_allowance_);
   SendOrGiveUp(step, request, "no backend server");
 }
 
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -7,9 +7,6 @@
 namespace jujubefront {
 namespace {
 
-// A call shares its parent's deadline but for the way to and from the backend
-// server and the rounding to milliseconds.
-constexpr Duration kParentDeadlineTolerance = std::chrono::milliseconds(3);
 // Part of the latency objective for which a root request may wait.
 constexpr int kWaitPart = 8;
 constexpr Duration kLeastWait = std::chrono::milliseconds(20);
@@ -39,7 +36,10 @@
   reply.send_id_ = run.order_.send_id_;
   reply.running_ = step.state_.running_;
   reply.waiting_ = static_cast<std::uint32_t>(step.state_.waiting_.runs_.size());
-  reply.calls_failed_ = run.calls_failed_;
+  reply.calls_failed_ =
+      run.calls_failed_ ||
+      (run.started_at_ != Timestamp{} &&
+       step.state_.call_failed_at_ >= run.started_at_);
   if (run.connection_id_ == 0) {
     step.state_.own_replies_.push_back(std::move(reply));
   } else {
@@ -69,14 +69,7 @@
   stats.runs_ = std::min(stats.runs_ + 1.0, 1.0 / kStatsWeight);
   const double weight = 1.0 / stats.runs_;
   stats.hold_seconds_ += weight * (hold - stats.hold_seconds_);
-  for (auto& [route, mean] : stats.calls_) {
-    const auto made = run.calls_.find(route);
-    const double count = made == run.calls_.end() ? 0.0 : made->second;
-    mean += weight * (count - mean);
-  }
-  for (const auto& [route, count] : run.calls_) {
-    if (!stats.calls_.contains(route)) stats.calls_[route] = weight * count;
-  }
+  stats.last_at_ = step.now_;
 }
 
 void ReleaseSlot(RelayStep& step, OpenRun& run) {
@@ -98,6 +91,7 @@
   step.state_.run_of_deadline_.emplace(run.deadline_, run.run_id_);
   ++step.state_.running_;
   ++step.state_.counters_.runs_;
+  step.state_.call_window_.runs_[run.order_.route_] += 1.0;
   step.effects_.emplace_back(
       StartRun{.run_id_ = run.run_id_,
                .address_ = step.options_.backend_address_,
@@ -150,12 +144,13 @@
 
 }  // namespace
 
-std::uint64_t FindParentRun(const RelayStep& step, Timestamp deadline) {
+std::uint64_t FindParentRun(const RelayStep& step, Timestamp deadline,
+                            Duration tolerance) {
   std::uint64_t parent = 0;
-  Duration nearest = kParentDeadlineTolerance;
+  Duration nearest = tolerance;
   const auto& runs = step.state_.run_of_deadline_;
-  for (auto it = runs.lower_bound(deadline - kParentDeadlineTolerance);
-       it != runs.end() && it->first <= deadline + kParentDeadlineTolerance;
+  for (auto it = runs.lower_bound(deadline - tolerance);
+       it != runs.end() && it->first <= deadline + tolerance;
        ++it) {
     const Duration distance = std::chrono::abs(it->first - deadline);
     if (distance > nearest) continue;
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -13,6 +13,11 @@
 constexpr Duration kTableGrace = std::chrono::milliseconds(300);
 constexpr Duration kTableAskInterval = std::chrono::milliseconds(700);
 
+// Measurements that rest on fewer runs, and routes with fewer requests a
+// second, are not told to peers.
+constexpr double kLeastProfileRuns = 3.0;
+constexpr double kLeastToldDemand = 0.1;
+
 bool IsBusy(const RelayState& state) {
   if (state.running_ > 0 || !state.waiting_.runs_.empty()) return true;
   return std::any_of(state.demands_.begin(), state.demands_.end(),
@@ -103,11 +108,15 @@
 std::vector<RouteProfile> OwnProfiles(const RelayState& state) {
   std::vector<RouteProfile> profiles;
   for (const auto& [route, stats] : state.run_stats_) {
+    if (stats.runs_ < kLeastProfileRuns) continue;
+    const auto calls = state.calls_of_run_.find(route);
     profiles.push_back({.route_ = route,
                         .service_ = state.backend_.service_,
                         .runs_ = stats.runs_,
                         .slot_seconds_ = stats.hold_seconds_,
-                        .calls_ = stats.calls_});
+                        .calls_ = calls == state.calls_of_run_.end()
+                                      ? std::map<std::string, double>()
+                                      : calls->second});
   }
   return profiles;
 }
@@ -117,7 +126,7 @@
   for (const RouteRule& route : state.table_.routes_) {
     const auto found = state.demands_.find(route.name_);
     if (found == state.demands_.end()) continue;
-    if (found->second.per_second_ < 0.01) continue;
+    if (found->second.per_second_ < kLeastToldDemand) continue;
     demands.push_back({.route_ = route.name_,
                        .priority_ = route.priority_,
                        .per_second_ = found->second.per_second_});
@@ -154,10 +163,12 @@
       .address_ = step.options_.address_,
       .boot_ = step.options_.boot_,
       .sequence_ = ++state.status_sequence_,
+      .sent_at_ = step.now_.time_since_epoch(),
       .zone_ = step.options_.zone_,
       .region_ = step.options_.region_,
       .leaving_ = state.stopping_,
-      .service_ = state.backend_.service_,
+      .service_ = state.backend_.service_.empty() ? step.options_.service_
+                                                  : state.backend_.service_,
       .instance_ = state.backend_.instance_,
       .backend_ = state.backend_.state_,
       .slots_ = state.backend_.slots_,
@@ -190,7 +201,7 @@
   if (status.address_.empty() || status.address_ == step.options_.address_) {
     return;
   }
-  step.state_.peer_of_connection_[connection_id] = status.address_;
+  step.state_.inbound_links_[connection_id].peer_ = status.address_;
   for (const std::string& address : status.peers_) EnsurePeer(step, address);
   Peer& peer = EnsurePeer(step, status.address_);
   // Connections are numbered in the order in which they were accepted: what an
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -46,7 +46,8 @@
 // Refuses everything that waits for a slot.
 void RefuseWaiting(RelayStep& step, NotRunReason reason);
 // Run at the own backend server whose deadline this call shares, or 0.
-std::uint64_t FindParentRun(const RelayStep& step, Timestamp deadline);
+std::uint64_t FindParentRun(const RelayStep& step, Timestamp deadline,
+                            Duration tolerance);
 
 // The own backend server.
 void OnBackendHeard(RelayStep& step, const BackendHeard& heard);
@@ -71,6 +72,13 @@
 
 // Demand and admission.
 void CountDemand(RelayStep& step, const RouteRule& route, Duration remaining);
+// Who made a request: a backend server's run, if it is known which, or a
+// client.
+struct Origin {
+  bool is_call_ = false;
+  std::uint64_t parent_run_ = 0;
+};
+Origin FindOrigin(RelayStep& step, const RouteRule& route, Timestamp deadline);
 void TickDemand(RelayStep& step);
 
 // Store.
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -27,6 +27,7 @@
   std::string address_;  // of the peer link
   std::uint64_t boot_ = 0;      // tells processes at one address apart
   std::uint64_t sequence_ = 0;  // order of the statuses of one process
+  Duration sent_at_ = Duration::zero();  // sender's time since its boot
   std::string zone_;
   std::string region_;
   bool leaving_ = false;  // the node stops
@@ -38,7 +39,7 @@
   std::uint32_t waiting_ = 0;
   std::uint64_t table_version_ = 0;  // of the routing document
   std::vector<RouteProfile> profiles_;  // of the routes run here
-  std::vector<RouteDemand> demands_;    // of the clients on this host
+  std::vector<RouteDemand> demands_;    // that arrive on this host
   std::vector<std::string> peers_;      // known addresses, on first contact
   std::vector<std::uint64_t> suspects_;  // contents whose runs crashed servers
 };
@@ -46,6 +47,7 @@
 // A request on its way from the entry to the host that shall run it.
 struct RunOrder {
   std::uint64_t send_id_ = 0;
+  Duration sent_at_ = Duration::zero();  // sender's time since its boot
   std::string instance_;  // only this backend server may run it
   std::string route_;
   std::string caller_service_;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -39,14 +39,30 @@
   }
 }
 
+// Time that a message has waited on its way, beyond the usual. A host that is
+// short of processor time reads orders long after they were sent.
+Duration MessageAge(RelayStep& step, std::uint64_t connection,
+                    Duration sent_at) {
+  InboundLink& link = step.state_.inbound_links_[connection];
+  const Duration offset = step.now_.time_since_epoch() - sent_at;
+  if (!link.least_offset_ || offset < *link.least_offset_) {
+    link.least_offset_ = offset;
+  }
+  return offset - *link.least_offset_;
+}
+
 void OnLink(RelayStep& step, LinkReceived& received) {
   if (!received.peer_.empty()) {
     NoteHeard(EnsurePeer(step, received.peer_), step.now_);
   }
   const std::uint64_t connection = received.connection_id_;
   if (auto* status = std::get_if<HostStatus>(&received.message_)) {
+    MessageAge(step, connection, status->sent_at_);
     OnStatus(step, connection, *status);
   } else if (auto* order = std::get_if<RunOrder>(&received.message_)) {
+    const Duration age = MessageAge(step, connection, order->sent_at_);
+    order->remaining_ -= age;
+    order->objective_left_ -= age;
     OnRunOrder(step, connection, *order);
   } else if (auto* reply = std::get_if<RunReply>(&received.message_)) {
     OnRunReply(step, *reply);
@@ -69,7 +85,7 @@
   }
   void operator()(LinkReceived& e) const { OnLink(step_, e); }
   void operator()(LinkEnded& e) const {
-    step_.state_.peer_of_connection_.erase(e.connection_id_);
+    step_.state_.inbound_links_.erase(e.connection_id_);
     OnEntryLost(step_, e.connection_id_);
   }
   void operator()(PeerConnected& e) const { OnPeerConnected(step_, e.peer_); }
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -13,10 +13,11 @@
 
 #include "allocation/allocation.h"
 #include "base/hashing.h"
+#include "callgraph/callgraph.h"
 #include "placement/placement.h"
 #include "relay/relay_effect_types.h"
 #include "relay/relay_event_types.h"
-#include "retries/retries_types.h"
+#include "retries/retry_allowance.h"
 #include "routes/routes_types.h"
 #include "waiting/waiting.h"
 
@@ -34,8 +35,11 @@
   std::uint64_t seed_ = 0;
   PlacementOptions placement_;
   AllocationOptions allocation_;
-  // Retries by service: share of first sends, and burst of this node alone.
-  RetryOptions retries_;
+  // Bound on retries to a service over all nodes: a share of the first sends,
+  // and retries that are free in a window.
+  double retry_ratio_ = 0.2;
+  double retry_slack_ = 48.0;
+  double retry_safety_ = 0.7;  // part of that bound that is used
   Duration heartbeat_interval_ = std::chrono::milliseconds(1500);
   // Heartbeats that may be missed before a backend server counts as silent.
   std::uint32_t heartbeats_missed_ = 3;
@@ -104,7 +108,6 @@
   Timestamp deadline_;
   Timestamp started_at_;
   bool started_ = false;
-  std::map<std::string, std::uint32_t> calls_;  // made by this run, by route
   bool calls_failed_ = false;
 };
 
@@ -112,7 +115,7 @@
 struct RunStats {
   double runs_ = 0.0;          // of the running average
   double hold_seconds_ = 0.0;  // mean
-  std::map<std::string, double> calls_;  // mean per run
+  Timestamp last_at_;
 };
 
 // Own experience of a peer's backend server.
@@ -144,6 +147,14 @@
   Timestamp table_asked_at_;
 };
 
+// A connection that a peer opened.
+struct InboundLink {
+  std::string peer_;
+  // Least difference seen between the own clock and the peer's stamp: what is
+  // above it is time that a message has waited on the way.
+  std::optional<Duration> least_offset_;
+};
+
 // The host's own backend server.
 struct OwnBackend {
   BackendState state_ = BackendState::kUnknown;
@@ -233,11 +244,21 @@
   OwnBackend backend_;
   std::map<std::string, RunStats> run_stats_;
   std::map<std::string, Peer> peers_;
-  std::unordered_map<std::uint64_t, std::string> peer_of_connection_;
+  std::unordered_map<std::uint64_t, InboundLink> inbound_links_;
   std::map<std::string, RetryBudget> retry_budgets_;  // by service
   std::map<std::string, DemandMeter> demands_;
+  RetryAllowance retry_allowance_;
+  // Region's measured costs of runs, by route.
+  std::map<std::string, RouteProfile> profiles_;
+  std::map<std::string, ServicePressure> pressure_;  // by service
   std::map<std::string, double> admitted_;  // by route; absent: all
   Timestamp demand_window_start_;
+  CallWindow call_window_;  // under way
+  CallFit call_fit_;
+  // Calls of one run of the own backend server, by route of the run.
+  std::map<std::string, std::map<std::string, double>> calls_of_run_;
+  std::set<std::string> called_routes_;  // that only backend servers call
+  Timestamp call_failed_at_;  // a call of an unknown run of this host
   std::set<std::uint64_t> condemned_;  // contents that crash backend servers
   std::map<std::uint64_t, std::uint32_t> crashes_;  // by content
   StoreState store_;
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -59,6 +59,7 @@
   demands @14 :List(Demand);
   peers @15 :List(Text);
   suspects @16 :List(UInt64);
+  sentAtUs @17 :Int64;
 }
 
 struct Order {
@@ -76,6 +77,7 @@
   target @11 :Text;
   headers @12 :List(Header);
   body @13 :Data;
+  sentAtUs @14 :Int64;
 }
 
 struct Reply {
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -74,6 +74,7 @@
   builder.setAddress(ToText(status.address_));
   builder.setBoot(status.boot_);
   builder.setSequence(status.sequence_);
+  builder.setSentAtUs(status.sent_at_.count());
   builder.setZone(ToText(status.zone_));
   builder.setRegion(ToText(status.region_));
   builder.setLeaving(status.leaving_);
@@ -106,6 +107,7 @@
   status.address_ = ToString(reader.getAddress());
   status.boot_ = reader.getBoot();
   status.sequence_ = reader.getSequence();
+  status.sent_at_ = Duration(reader.getSentAtUs());
   status.zone_ = ToString(reader.getZone());
   status.region_ = ToString(reader.getRegion());
   status.leaving_ = reader.getLeaving();
@@ -144,6 +146,7 @@
 void Write(linkwire::Message::Builder message, const RunOrder& order) {
   auto builder = message.initOrder();
   builder.setSendId(order.send_id_);
+  builder.setSentAtUs(order.sent_at_.count());
   builder.setInstance(ToText(order.instance_));
   builder.setRoute(ToText(order.route_));
   builder.setCallerService(ToText(order.caller_service_));
@@ -163,6 +166,7 @@
 RunOrder Read(linkwire::Order::Reader reader) {
   RunOrder order;
   order.send_id_ = reader.getSendId();
+  order.sent_at_ = Duration(reader.getSentAtUs());
   order.instance_ = ToString(reader.getInstance());
   order.route_ = ToString(reader.getRoute());
   order.caller_service_ = ToString(reader.getCallerService());
