--- a/src/allocation/allocation.cc
+++ b/src/allocation/allocation.cc
@@ -1,6 +1,7 @@
 #include "allocation/allocation.h"
 
 #include <algorithm>
+#include <set>
 
 namespace jujubefront {
 namespace {
@@ -15,28 +16,37 @@
 constexpr double kGrow = 1.05;
 constexpr double kLeastCorrection = 0.4;
 
-void AddCost(const std::map<std::string, RouteProfile>& profiles,
-             const std::string& route, double runs, std::uint32_t depth_left,
-             std::map<std::string, double>& cost) {
-  const auto found = profiles.find(route);
-  if (found == profiles.end() || depth_left == 0) return;
-  const RouteProfile& profile = found->second;
-  cost[profile.service_] += runs * profile.slot_seconds_;
-  for (const auto& [called, times] : profile.calls_) {
-    AddCost(profiles, called, runs * times, depth_left - 1, cost);
-  }
-}
+using ServiceTotals = std::map<std::string, double>;
 
-void AddRuns(const std::map<std::string, RouteProfile>& profiles,
-             const std::string& route, double runs, std::uint32_t depth_left,
-             std::map<std::string, double>& total) {
-  const auto found = profiles.find(route);
-  if (found == profiles.end() || depth_left == 0) return;
-  total[found->second.service_] += runs;
-  for (const auto& [called, times] : found->second.calls_) {
-    AddRuns(profiles, called, runs * times, depth_left - 1, total);
+// Totals of call trees, each route worked out once.
+struct TreeWalk {
+  const std::map<std::string, RouteProfile>& profiles_;
+  bool in_runs_ = false;  // count runs, not slot seconds
+  std::map<std::string, ServiceTotals> done_;
+  std::set<std::string> open_;  // on the path from the root
+
+  // Routes that lead back to themselves are left out: measured call counts
+  // may hold a cycle by chance, and a real one has no finite cost.
+  const ServiceTotals& Of(const std::string& route) {
+    static const ServiceTotals kNothing;
+    const auto known = done_.find(route);
+    if (known != done_.end()) return known->second;
+    const auto found = profiles_.find(route);
+    if (found == profiles_.end() || !open_.insert(route).second) {
+      return kNothing;
+    }
+    const RouteProfile& profile = found->second;
+    ServiceTotals totals;
+    totals[profile.service_] += in_runs_ ? 1.0 : profile.slot_seconds_;
+    for (const auto& [called, times] : profile.calls_) {
+      for (const auto& [service, part] : Of(called)) {
+        totals[service] += times * part;
+      }
+    }
+    open_.erase(route);
+    return done_[route] = std::move(totals);
   }
-}
+};
 
 struct Claim {
   const RouteDemand* demand_ = nullptr;
@@ -73,18 +83,16 @@
 
 std::map<std::string, double> TreeCost(
     const std::map<std::string, RouteProfile>& profiles,
-    const std::string& route, const AllocationOptions& options) {
-  std::map<std::string, double> cost;
-  AddCost(profiles, route, 1.0, options.max_depth_, cost);
-  return cost;
+    const std::string& route) {
+  TreeWalk walk{.profiles_ = profiles};
+  return walk.Of(route);
 }
 
 std::map<std::string, double> TreeRuns(
     const std::map<std::string, RouteProfile>& profiles,
-    const std::string& route, const AllocationOptions& options) {
-  std::map<std::string, double> runs;
-  AddRuns(profiles, route, 1.0, options.max_depth_, runs);
-  return runs;
+    const std::string& route) {
+  TreeWalk walk{.profiles_ = profiles, .in_runs_ = true};
+  return walk.Of(route);
 }
 
 ServicePressure UpdatePressure(const ServicePressure& before, double busy) {
@@ -111,11 +119,11 @@
   for (const auto& [service, count] : slots) {
     left[service] = count * options.utilisation_;
   }
+  TreeWalk walk{.profiles_ = profiles};
   std::map<std::uint32_t, std::vector<Claim>> by_priority;
   for (const RouteDemand& demand : demands) {
     by_priority[demand.priority_].push_back(
-        {.demand_ = &demand,
-         .cost_ = TreeCost(profiles, demand.route_, options)});
+        {.demand_ = &demand, .cost_ = walk.Of(demand.route_)});
   }
   std::map<std::string, double> fractions;
   for (auto& [priority, claims] : by_priority) {
--- a/src/allocation/allocation.h
+++ b/src/allocation/allocation.h
@@ -29,19 +29,18 @@
   // Part of the slots of a service that is given out; the rest absorbs the
   // unevenness of arrivals.
   double utilisation_ = 0.9;
-  std::uint32_t max_depth_ = 32;
 };
 
 // Slot seconds that one run of a route needs at each service, with everything
 // that it calls.
 std::map<std::string, double> TreeCost(
     const std::map<std::string, RouteProfile>& profiles,
-    const std::string& route, const AllocationOptions& options);
+    const std::string& route);
 
 // Runs that one run of a route leads to at each service, itself included.
 std::map<std::string, double> TreeRuns(
     const std::map<std::string, RouteProfile>& profiles,
-    const std::string& route, const AllocationOptions& options);
+    const std::string& route);
 
 // How busy a service is, and what follows for what is given out of it.
 struct ServicePressure {
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -269,8 +269,8 @@
   if (request.sends_ == 0) return true;
   if (request.may_have_run_ && !request.idempotent_) return false;
   if (request.sends_ >= request.max_attempts_) return false;
-  std::map<std::string, double> cost = TreeRuns(
-      step.state_.profiles_, request.route_, step.options_.allocation_);
+  std::map<std::string, double> cost =
+      TreeRuns(step.state_.profiles_, request.route_);
   cost[request.service_] = std::max(1.0, cost[request.service_]);
   const double reserve = request.priority_ == 0 ? 0.0 : kRetryReserve;
   const bool granted =
