--- a/src/allocation/tests/allocation_tests.cc
+++ b/src/allocation/tests/allocation_tests.cc
@@ -1,1 +1,97 @@
 #include <cppunit/extensions/HelperMacros.h>
+
+#include "allocation/allocation.h"
+
+namespace jujubefront {
+namespace {
+
+RouteProfile Profile(const char* route, const char* service, double seconds,
+                     std::map<std::string, double> calls = {}) {
+  return {.route_ = route,
+          .service_ = service,
+          .runs_ = 10,
+          .slot_seconds_ = seconds,
+          .calls_ = std::move(calls)};
+}
+
+// A narrow leaf that every root calls several times.
+std::map<std::string, RouteProfile> FanOut() {
+  return {{"check", Profile("check", "front", 0.1, {{"stock", 4}})},
+          {"deposit", Profile("deposit", "front", 0.2, {{"stock", 8}})},
+          {"status", Profile("status", "leaf", 0.05)},
+          {"stock", Profile("stock", "leaf", 0.05)}};
+}
+
+class AllocationTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AllocationTests);
+  CPPUNIT_TEST(AdmitsByPriorityAgainstTheNarrowestService);
+  CPPUNIT_TEST(CountsWholeTrees);
+  CPPUNIT_TEST(LeavesOutCycles);
+  CPPUNIT_TEST(GivesOutLessWhereWorkWaits);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AdmitsByPriorityAgainstTheNarrowestService() {
+    struct Row {
+      double leaf_slots_;
+      double status_;
+      double deposit_;
+      double check_;
+    };
+    // Needed at the leaf: deposits 4, statuses 1, checks 2 slots.
+    const Row rows[] = {
+        {100, 1.0, 1.0, 1.0}, {6, 1.0, 1.0, 0.5},  {5, 1.0, 1.0, 0.0},
+        {4.5, 0.5, 1.0, 0.0}, {2, 0.0, 0.5, 0.0},
+    };
+    const std::vector<RouteDemand> demands = {
+        {.route_ = "deposit", .priority_ = 0, .per_second_ = 10},
+        {.route_ = "status", .priority_ = 1, .per_second_ = 20},
+        {.route_ = "check", .priority_ = 2, .per_second_ = 10}};
+    for (const Row& row : rows) {
+      const auto admitted =
+          Allocate(FanOut(), demands, {{"leaf", row.leaf_slots_}},
+                   {.utilisation_ = 1.0});
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(row.deposit_, admitted.at("deposit"), 1e-9);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(row.status_, admitted.at("status"), 1e-9);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(row.check_, admitted.at("check"), 1e-9);
+    }
+  }
+
+  void CountsWholeTrees() {
+    const auto cost = TreeCost(FanOut(), "deposit");
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.2, cost.at("front"), 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.4, cost.at("leaf"), 1e-9);
+    const auto runs = TreeRuns(FanOut(), "deposit");
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, runs.at("front"), 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(8.0, runs.at("leaf"), 1e-9);
+  }
+
+  // Measured counts can hold a cycle by chance. Walking it to a fixed depth
+  // took all processor time on a day with two routes that seemed to call each
+  // other.
+  void LeavesOutCycles() {
+    std::map<std::string, RouteProfile> profiles;
+    for (const char* route : {"a", "b", "c"}) {
+      profiles[route] =
+          Profile(route, route, 0.1, {{"a", 2}, {"b", 2}, {"c", 2}});
+    }
+    const auto cost = TreeCost(profiles, "a");
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, cost.at("a"), 1e-9);
+    CPPUNIT_ASSERT(cost.at("b") < 10.0);
+  }
+
+  void GivesOutLessWhereWorkWaits() {
+    ServicePressure pressure;
+    CPPUNIT_ASSERT(!IsPressed(pressure));
+    for (int i = 0; i < 5; ++i) pressure = UpdatePressure(pressure, 1.5);
+    CPPUNIT_ASSERT(IsPressed(pressure));
+    CPPUNIT_ASSERT(pressure.correction_ < 0.7);
+    for (int i = 0; i < 20; ++i) pressure = UpdatePressure(pressure, 0.3);
+    CPPUNIT_ASSERT(!IsPressed(pressure));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AllocationTests);
+
+}  // namespace
+}  // namespace jujubefront
--- a/src/callgraph/tests/callgraph_tests.cc
+++ b/src/callgraph/tests/callgraph_tests.cc
@@ -1,1 +1,68 @@
 #include <cppunit/extensions/HelperMacros.h>
+
+#include "base/hashing.h"
+#include "callgraph/callgraph.h"
+
+namespace jujubefront {
+namespace {
+
+class CallgraphTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallgraphTests);
+  CPPUNIT_TEST(FitsCallsThatNameNoParent);
+  CPPUNIT_TEST(KeepsFewRoutes);
+  CPPUNIT_TEST(FindsRoutesThatOnlyBackendServersCall);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Two routes of one service call the same route, twice and once.
+  void FitsCallsThatNameNoParent() {
+    RandomState random{7};
+    CallFit fit;
+    for (int i = 0; i < 60; ++i) {
+      const auto deposits = static_cast<double>(2 + NextBelow(random, 12));
+      const auto ledgers = static_cast<double>(3 + NextBelow(random, 20));
+      AddWindow(fit, {.runs_ = {{"deposit", deposits}, {"ledger", ledgers}},
+                      .calls_ = {{"roster", 2 * deposits + ledgers}}});
+    }
+    const auto calls = CallsByRoute(fit);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, calls.at("deposit").at("roster"), 0.1);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, calls.at("ledger").at("roster"), 0.1);
+  }
+
+  // A document with hundreds of routes that are tried once must not make the
+  // fit, which costs the square of their number, expensive.
+  void KeepsFewRoutes() {
+    CallFit fit;
+    for (int i = 0; i < 400; ++i) {
+      AddWindow(fit, {.runs_ = {{"busy", 20.0},
+                                {"idle-" + std::to_string(i), 1.0}},
+                      .calls_ = {{"leaf", 40.0}}});
+    }
+    CPPUNIT_ASSERT(fit.squares_.size() <= 8);
+    CPPUNIT_ASSERT(fit.squares_.contains("busy"));
+  }
+
+  void FindsRoutesThatOnlyBackendServersCall() {
+    struct Row {
+      const char* name_;
+      std::vector<RouteArrivals> arrivals_;
+      bool called_;
+    };
+    const Row rows[] = {
+        {"one service only", {{"r", "a", 9.0}, {"root", "b", 5.0}}, true},
+        {"all services alike", {{"r", "a", 5.0}, {"r", "b", 5.0}}, false},
+        {"too few to tell", {{"r", "a", 0.2}, {"root", "b", 5.0}}, false},
+        {"a single service exists", {{"r", "a", 9.0}}, false},
+    };
+    for (const Row& row : rows) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          row.name_, row.called_,
+          FindCalledRoutes(row.arrivals_).contains("r"));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallgraphTests);
+
+}  // namespace
+}  // namespace jujubefront
--- a/src/http1/tests/http1_tests.cc
+++ b/src/http1/tests/http1_tests.cc
@@ -1,1 +1,172 @@
 #include <cppunit/extensions/HelperMacros.h>
+
+#include "http1/http1_codec.h"
+
+namespace jujubefront {
+namespace {
+
+constexpr Http1Limits kLimits{.max_header_bytes_ = 512, .max_body_bytes_ = 64};
+
+class Http1Tests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(Http1Tests);
+  CPPUNIT_TEST(ReadsRequests);
+  CPPUNIT_TEST(ReadsRequestsInAnyPieces);
+  CPPUNIT_TEST(ReadsResponses);
+  CPPUNIT_TEST(KeepsWhatFollowsAMessage);
+  CPPUNIT_TEST(RemovesHeadersOfOneConnection);
+  CPPUNIT_TEST(WritesWhatItReads);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Expected outcome of each way in which a request can be formed.
+  void ReadsRequests() {
+    struct Row {
+      const char* name_;
+      std::string bytes_;
+      bool complete_;
+      Http1Fault fault_;
+      std::string body_;
+    };
+    const std::string head = "POST /a/ HTTP/1.1\r\nHost: h\r\n";
+    const Row rows[] = {
+        {"no body", "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n", true,
+         Http1Fault::kNone, ""},
+        {"length", head + "Content-Length: 3\r\n\r\nabc", true,
+         Http1Fault::kNone, "abc"},
+        {"chunks",
+         head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+         true, Http1Fault::kNone, "abc"},
+        {"body cut short", head + "Content-Length: 9\r\n\r\nabc", false,
+         Http1Fault::kNone, ""},
+        {"length and chunks",
+         head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+         false, Http1Fault::kMalformed, ""},
+        {"two lengths",
+         head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", false,
+         Http1Fault::kMalformed, ""},
+        {"length is no number", head + "Content-Length: -3\r\n\r\nabc", false,
+         Http1Fault::kMalformed, ""},
+        {"space before the colon", "GET / HTTP/1.1\r\nHost : h\r\n\r\n", false,
+         Http1Fault::kMalformed, ""},
+        {"bad chunk size",
+         head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n", false,
+         Http1Fault::kMalformed, ""},
+        {"no request", "\x16\x03\x01\r\n\r\n", false, Http1Fault::kMalformed,
+         ""},
+        {"header too large",
+         "GET / HTTP/1.1\r\nX: " + std::string(600, 'x') + "\r\n\r\n", false,
+         Http1Fault::kHeaderTooLarge, ""},
+        {"body too large",
+         head + "Content-Length: 65\r\n\r\n" + std::string(65, 'x'), false,
+         Http1Fault::kBodyTooLarge, ""},
+    };
+    for (const Row& row : rows) {
+      Http1RequestReader reader(kLimits);
+      const Http1Progress progress = reader.Read(row.bytes_);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.complete_,
+                                   progress.complete_);
+      CPPUNIT_ASSERT_MESSAGE(row.name_, row.fault_ == progress.fault_);
+      if (!row.complete_) continue;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.body_, reader.Take().body_);
+    }
+  }
+
+  void ReadsRequestsInAnyPieces() {
+    const std::string bytes =
+        "PUT /a/?q=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+      Http1RequestReader reader(kLimits);
+      std::string inbox;
+      bool complete = false;
+      for (std::size_t at = 0; at < bytes.size(); at += piece) {
+        inbox += bytes.substr(at, piece);
+        const Http1Progress progress = reader.Read(inbox);
+        inbox.erase(0, progress.consumed_);
+        complete = progress.complete_;
+      }
+      CPPUNIT_ASSERT(complete);
+      const Http1Request request = reader.Take();
+      CPPUNIT_ASSERT_EQUAL(std::string("/a/?q=1"), request.target_);
+      CPPUNIT_ASSERT_EQUAL(std::string("abcde"), request.body_);
+    }
+  }
+
+  // What a response counts for when its connection then ends in order.
+  void ReadsResponses() {
+    struct Row {
+      const char* name_;
+      std::string bytes_;
+      bool complete_;         // at once
+      bool complete_at_end_;  // once the connection has ended
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const Row rows[] = {
+        {"length", head + "Content-Length: 3\r\n\r\nabc", true, true},
+        {"cut short", head + "Content-Length: 9\r\n\r\nabc", false, false},
+        {"chunks cut short",
+         head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false, false},
+        {"no length", head + "\r\nabc", false, true},
+        {"header cut short", head + "Content-Le", false, false},
+        {"nothing", "", false, false},
+        {"interim response first",
+         "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 1\r\n\r\na",
+         true, true},
+        {"no response", "garbage\r\n\r\n", false, false},
+    };
+    for (const Row& row : rows) {
+      Http1ResponseReader reader(kLimits, false);
+      const Http1Progress progress = reader.Read(row.bytes_);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.complete_,
+                                   progress.complete_);
+      if (row.complete_ || progress.fault_ != Http1Fault::kNone) continue;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.complete_at_end_,
+                                   reader.ReadEnd().complete_);
+    }
+  }
+
+  // A second response, or a request that was sent ahead, stays unread.
+  void KeepsWhatFollowsAMessage() {
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    Http1ResponseReader responses(kLimits, false);
+    CPPUNIT_ASSERT_EQUAL(first.size(),
+                         responses.Read(first + first).consumed_);
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    Http1RequestReader requests(kLimits);
+    CPPUNIT_ASSERT_EQUAL(request.size(),
+                         requests.Read(request + request).consumed_);
+  }
+
+  void RemovesHeadersOfOneConnection() {
+    HeaderList headers = {{"Host", "h"},         {"Connection", "close, X-Hop"},
+                          {"X-Hop", "1"},        {"keep-alive", "timeout=5"},
+                          {"X-Request-Id", "7"}, {"Transfer-Encoding", "x"}};
+    RemoveConnectionHeaders(headers);
+    const HeaderList expected = {{"Host", "h"}, {"X-Request-Id", "7"}};
+    CPPUNIT_ASSERT(expected == headers);
+  }
+
+  void WritesWhatItReads() {
+    const Http1Request request{.method_ = "POST",
+                               .target_ = "/a/?x=%20",
+                               .headers_ = {{"Host", "h"}},
+                               .body_ = std::string("a\0b", 3)};
+    Http1RequestReader requests(kLimits);
+    CPPUNIT_ASSERT(requests.Read(WriteRequest(request)).complete_);
+    const Http1Request read = requests.Take();
+    CPPUNIT_ASSERT_EQUAL(request.body_, read.body_);
+    CPPUNIT_ASSERT_EQUAL(request.target_, read.target_);
+    for (const int status : {200, 204, 304, 503}) {
+      Http1ResponseReader responses(kLimits, false);
+      const std::string text =
+          WriteResponse({.status_ = status, .keep_alive_ = false}, false);
+      CPPUNIT_ASSERT(responses.Read(text).complete_);
+      CPPUNIT_ASSERT(!responses.Take().keep_alive_);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(Http1Tests);
+
+}  // namespace
+}  // namespace jujubefront
--- a/src/placement/tests/placement_tests.cc
+++ b/src/placement/tests/placement_tests.cc
@@ -1,1 +1,68 @@
 #include <cppunit/extensions/HelperMacros.h>
+
+#include "placement/placement.h"
+
+namespace jujubefront {
+namespace {
+
+constexpr std::chrono::milliseconds kHold{100};
+
+class PlacementTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlacementTests);
+  CPPUNIT_TEST(PicksTheEarliestFinish);
+  CPPUNIT_TEST(SpreadsOverEquals);
+  CPPUNIT_TEST(FindsNothingAmongNone);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void PicksTheEarliestFinish() {
+    struct Row {
+      const char* name_;
+      Place first_;
+      Place second_;
+      std::size_t expected_;
+    };
+    const Place calm{.slots_ = 10, .load_ = 2, .hold_ = kHold};
+    Place near_full = calm;
+    near_full.load_ = 10;
+    Place flooded = calm;
+    flooded.load_ = 60;
+    Place slow = calm;
+    slow.hold_ = 3 * kHold;
+    Place failing = calm;
+    failing.failure_share_ = 0.5;
+    Place other_zone = calm;
+    other_zone.distance_ = Distance::kSameRegion;
+    Place other_region = calm;
+    other_region.distance_ = Distance::kOtherRegion;
+    const Row rows[] = {
+        {"free before full", near_full, calm, 1},
+        {"fast before slow", slow, calm, 1},
+        {"sound before failing", failing, calm, 1},
+        {"own zone before another", other_zone, calm, 1},
+        {"another zone before a long wait", flooded, other_zone, 1},
+        {"a long wait before another region", flooded, other_region, 0},
+    };
+    for (const Row& row : rows) {
+      const auto chosen = ChoosePlace({row.first_, row.second_}, {}, {}, 0.0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.expected_, *chosen);
+    }
+  }
+
+  void SpreadsOverEquals() {
+    const Place place{.slots_ = 10, .hold_ = kHold};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         *ChoosePlace({place, place}, {}, {}, 0.1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         *ChoosePlace({place, place}, {}, {}, 0.9));
+  }
+
+  void FindsNothingAmongNone() {
+    CPPUNIT_ASSERT(!ChoosePlace({}, {}, {}, 0.5));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTests);
+
+}  // namespace
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relay/tests/host_tests.cc
@@ -0,0 +1,315 @@
+#include "relay/tests/relay_bench.h"
+
+namespace jujubefront {
+namespace {
+
+constexpr std::uint64_t kEntryConnection = 7;
+
+RunOrder Order(const RelayBench& bench, std::uint64_t send_id,
+               bool idempotent = true, const char* instance = "i-1") {
+  return {.send_id_ = send_id,
+          .sent_at_ = bench.now().time_since_epoch(),
+          .instance_ = instance,
+          .route_ = "read",
+          .caller_service_ = "other",
+          .idempotent_ = idempotent,
+          .remaining_ = std::chrono::milliseconds(800),
+          .objective_left_ = std::chrono::milliseconds(400),
+          .request_ = {.method_ = "GET", .target_ = "/read/1"}};
+}
+
+void Receive(RelayBench& bench, LinkMessage message) {
+  bench.Feed(LinkReceived{.connection_id_ = kEntryConnection,
+                          .message_ = std::move(message)});
+}
+
+// Replies sent back to the entry since the last call.
+std::vector<RunReply> TakeReplies(RelayBench& bench) {
+  std::vector<RunReply> replies;
+  for (SendBack& back : bench.Take<SendBack>()) {
+    if (auto* reply = std::get_if<RunReply>(&back.message_)) {
+      replies.push_back(std::move(*reply));
+    }
+  }
+  return replies;
+}
+
+class HostTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HostTests);
+  CPPUNIT_TEST(RunsOnlyWhatMayRunHere);
+  CPPUNIT_TEST(RepliesByWhatTheBackendServerDid);
+  CPPUNIT_TEST(HoldsNoMoreRunsThanSlots);
+  CPPUNIT_TEST(OldHeartbeatsOverrideNothing);
+  CPPUNIT_TEST(DrainingStopsAdmissionAtOnce);
+  CPPUNIT_TEST(CancelStopsOnlyWhatMayBeRepeated);
+  CPPUNIT_TEST(NothingStartsAfterASuspensionPastItsDeadline);
+  CPPUNIT_TEST(OrderThatWaitedOnItsWayHasLessTime);
+  CPPUNIT_TEST(SilentBackendServerGetsNothing);
+  CPPUNIT_TEST(CallsAreFoundByTheirParentsDeadline);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RunsOnlyWhatMayRunHere() {
+    struct Row {
+      const char* name_;
+      bool heard_;
+      bool draining_;
+      const char* instance_;
+      bool runs_;
+      NotRunReason reason_;
+    };
+    const Row rows[] = {
+        {"ready", true, false, "i-1", true, NotRunReason::kNone},
+        {"never heard of", false, false, "i-1", false,
+         NotRunReason::kUnreachable},
+        {"draining", true, true, "i-1", false, NotRunReason::kDraining},
+        {"another instance", true, false, "i-0", false,
+         NotRunReason::kOtherInstance},
+    };
+    for (const Row& row : rows) {
+      RelayBench bench;
+      bench.LearnTable();
+      if (row.heard_) bench.HearBackend("i-1", 1, 1, row.draining_);
+      Receive(bench, Order(bench, 1, true, row.instance_));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.runs_,
+                                   !bench.Take<StartRun>().empty());
+      const auto replies = TakeReplies(bench);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, !row.runs_, !replies.empty());
+      if (row.runs_) continue;
+      CPPUNIT_ASSERT(replies.front().outcome_ == RunOutcome::kNotRun);
+      CPPUNIT_ASSERT(replies.front().reason_ == row.reason_);
+    }
+  }
+
+  void RepliesByWhatTheBackendServerDid() {
+    struct Row {
+      const char* name_;
+      std::variant<BackendResponded, BackendBroke> end_;
+      RunOutcome outcome_;
+    };
+    const Row rows[] = {
+        {"answered", BackendResponded{.response_ = {.status_ = 200}},
+         RunOutcome::kAnswered},
+        {"failed", BackendResponded{.response_ = {.status_ = 500}},
+         RunOutcome::kAnswered},
+        {"rejected",
+         BackendResponded{.response_ = {.status_ = 503}, .not_run_ = true},
+         RunOutcome::kNotRun},
+        {"spoilt",
+         BackendResponded{.response_ = {.status_ = 200}, .spoilt_ = true},
+         RunOutcome::kBroken},
+        {"connection refused",
+         BackendBroke{.break_ = BackendBreak::kNotSent}, RunOutcome::kNotRun},
+        {"connection lost", BackendBroke{.break_ = BackendBreak::kBroken},
+         RunOutcome::kBroken},
+        {"no response", BackendBroke{.break_ = BackendBreak::kMalformed},
+         RunOutcome::kBroken},
+    };
+    for (const Row& row : rows) {
+      RelayBench bench;
+      bench.LearnTable();
+      bench.HearBackend();
+      Receive(bench, Order(bench, 1));
+      const auto runs = bench.Take<StartRun>();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs.size());
+      if (const auto* end = std::get_if<BackendResponded>(&row.end_)) {
+        BackendResponded event = *end;
+        event.run_id_ = runs.front().run_id_;
+        bench.Feed(event);
+      } else {
+        BackendBroke event = std::get<BackendBroke>(row.end_);
+        event.run_id_ = runs.front().run_id_;
+        bench.Feed(event);
+      }
+      const auto replies = TakeReplies(bench);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::size_t{1}, replies.size());
+      CPPUNIT_ASSERT_MESSAGE(row.name_,
+                             replies.front().outcome_ == row.outcome_);
+      CPPUNIT_ASSERT_EQUAL(0U, bench.state().running_);
+    }
+  }
+
+  // The backend server of the bench has two slots.
+  void HoldsNoMoreRunsThanSlots() {
+    RelayBench bench;
+    bench.LearnTable();
+    bench.HearBackend();
+    for (std::uint64_t id = 1; id <= 3; ++id) Receive(bench, Order(bench, id));
+    const auto runs = bench.Take<StartRun>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runs.size());
+    bench.Feed(BackendResponded{.run_id_ = runs.front().run_id_,
+                                .response_ = {.status_ = 200}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.Take<StartRun>().size());
+    CPPUNIT_ASSERT_EQUAL(2U, bench.state().running_);
+  }
+
+  void OldHeartbeatsOverrideNothing() {
+    struct Row {
+      const char* name_;
+      const char* instance_;
+      std::int64_t born_;
+      std::uint64_t sequence_;
+      bool draining_;
+      const char* expected_instance_;
+      BackendState expected_;
+    };
+    // Known: i-1, started at 10, heartbeat 5, ready.
+    const Row rows[] = {
+        {"newer", "i-1", 10, 6, true, "i-1", BackendState::kDraining},
+        {"late", "i-1", 10, 4, true, "i-1", BackendState::kReady},
+        {"repeated", "i-1", 10, 5, true, "i-1", BackendState::kReady},
+        {"started again", "i-1", 11, 1, true, "i-1", BackendState::kDraining},
+        {"successor", "i-2", 12, 1, false, "i-2", BackendState::kReady},
+        {"predecessor, late", "i-0", 9, 99, true, "i-1", BackendState::kReady},
+    };
+    for (const Row& row : rows) {
+      RelayBench bench;
+      bench.HearBackend("i-1", 10, 5);
+      bench.HearBackend(row.instance_, row.born_, row.sequence_, row.draining_);
+      const OwnBackend& backend = bench.state().backend_;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_,
+                                   std::string(row.expected_instance_),
+                                   backend.instance_);
+      CPPUNIT_ASSERT_MESSAGE(row.name_, backend.state_ == row.expected_);
+    }
+  }
+
+  // Peers are told in the same step that lets the message be acknowledged,
+  // and what waits for a slot is refused.
+  void DrainingStopsAdmissionAtOnce() {
+    for (const bool says_draining : {true, false}) {
+      RelayBench bench;
+      bench.LearnTable();
+      bench.AddPeer("10.0.0.2:7000", kEntryConnection);
+      bench.HearBackend();
+      for (std::uint64_t id = 1; id <= 3; ++id) {
+        Receive(bench, Order(bench, id));
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.Take<StartRun>().size());
+      bench.Take<SendToPeer>();
+      if (says_draining) {
+        bench.HearBackend("i-1", 1, 2, true);
+      } else {
+        bench.Feed(BackendLeaves{.instance_ = "i-1"});
+      }
+      bool told = false;
+      for (const SendToPeer& sent : bench.Take<SendToPeer>()) {
+        const auto* status = std::get_if<HostStatus>(&sent.message_);
+        told |= status != nullptr && status->backend_ != BackendState::kReady;
+      }
+      CPPUNIT_ASSERT(told);
+      const auto replies = TakeReplies(bench);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies.size());
+      CPPUNIT_ASSERT(replies.front().outcome_ == RunOutcome::kNotRun);
+      // What already runs is let finish.
+      CPPUNIT_ASSERT(bench.Take<AbortRun>().empty());
+      CPPUNIT_ASSERT_EQUAL(2U, bench.state().running_);
+    }
+  }
+
+  void CancelStopsOnlyWhatMayBeRepeated() {
+    struct Row {
+      bool idempotent_;
+      bool waits_;
+      bool aborted_;
+    };
+    const Row rows[] = {{true, false, true},
+                        {false, false, false},
+                        {true, true, false},
+                        {false, true, false}};
+    for (const Row& row : rows) {
+      RelayBench bench;
+      bench.LearnTable();
+      bench.HearBackend();
+      if (row.waits_) {
+        Receive(bench, Order(bench, 8));
+        Receive(bench, Order(bench, 9));
+      }
+      Receive(bench, Order(bench, 1, row.idempotent_));
+      Receive(bench, RunCancel{.send_id_ = 1});
+      CPPUNIT_ASSERT_EQUAL(row.aborted_, !bench.Take<AbortRun>().empty());
+      CPPUNIT_ASSERT(bench.state().waiting_.runs_.empty());
+    }
+  }
+
+  void NothingStartsAfterASuspensionPastItsDeadline() {
+    RelayBench bench;
+    bench.LearnTable();
+    bench.HearBackend();
+    for (std::uint64_t id = 1; id <= 3; ++id) Receive(bench, Order(bench, id));
+    const auto runs = bench.Take<StartRun>();
+    bench.Jump(std::chrono::seconds(4));
+    bench.Feed(BackendResponded{.run_id_ = runs.front().run_id_,
+                                .response_ = {.status_ = 200}});
+    CPPUNIT_ASSERT(bench.Take<StartRun>().empty());
+    for (const RunReply& reply : TakeReplies(bench)) {
+      if (reply.send_id_ != 3) continue;
+      CPPUNIT_ASSERT(reply.outcome_ == RunOutcome::kNotRun);
+    }
+  }
+
+  // A host short of processor time reads an order long after it was sent.
+  void OrderThatWaitedOnItsWayHasLessTime() {
+    struct Row {
+      Duration waited_;
+      bool runs_;
+    };
+    const Row rows[] = {{std::chrono::milliseconds(300), true},
+                        {std::chrono::milliseconds(900), false}};
+    for (const Row& row : rows) {
+      RelayBench bench;
+      bench.LearnTable();
+      bench.HearBackend();
+      Receive(bench, Order(bench, 1));
+      bench.Take<StartRun>();
+      RunOrder late = Order(bench, 2);
+      bench.Jump(row.waited_);
+      Receive(bench, late);
+      const auto runs = bench.Take<StartRun>();
+      CPPUNIT_ASSERT_EQUAL(row.runs_, !runs.empty());
+      if (row.runs_) {
+        CPPUNIT_ASSERT(runs.front().remaining_ ==
+                       std::chrono::milliseconds(800) - row.waited_);
+      }
+    }
+  }
+
+  void SilentBackendServerGetsNothing() {
+    RelayBench bench;
+    bench.LearnTable();
+    bench.HearBackend();
+    bench.Pass(std::chrono::seconds(7));
+    CPPUNIT_ASSERT(bench.state().backend_.state_ == BackendState::kUnknown);
+    Receive(bench, Order(bench, 1));
+    CPPUNIT_ASSERT(bench.Take<StartRun>().empty());
+  }
+
+  // Calls carry their parent's deadline, in whole milliseconds.
+  void CallsAreFoundByTheirParentsDeadline() {
+    struct Row {
+      Duration remaining_;
+      bool is_call_;
+    };
+    const Row rows[] = {{std::chrono::milliseconds(799), true},
+                        {std::chrono::milliseconds(700), false}};
+    for (const Row& row : rows) {
+      RelayBench bench;
+      bench.LearnTable();
+      bench.HearBackend();
+      Receive(bench, Order(bench, 1));
+      bench.AddPeer("10.0.0.2:7000", 9);
+      bench.Request(1, "/read/2", row.remaining_);
+      bench.Request(2, "/read/3", row.remaining_);
+      const auto orders = bench.TakeOrders();
+      CPPUNIT_ASSERT(!orders.empty());
+      for (const auto& [peer, order] : orders) {
+        CPPUNIT_ASSERT_EQUAL(row.is_call_, order.is_call_);
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostTests);
+
+}  // namespace
+}  // namespace jujubefront
--- /dev/null
+++ b/src/relay/tests/relay_bench.h
@@ -0,0 +1,157 @@
+#ifndef JUJUBEFRONT_RELAY_TESTS_RELAY_BENCH_H_
+#define JUJUBEFRONT_RELAY_TESTS_RELAY_BENCH_H_
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "relay/relay.h"
+#include "routes/routes.h"
+
+namespace jujubefront {
+
+// One relay in virtual time, with the effects that it has asked for.
+class RelayBench {
+ public:
+  explicit RelayBench(RelayOptions options = DefaultOptions())
+      : options_(std::move(options)) {
+    state_ = MakeRelay(options_, now_, effects_);
+  }
+
+  static RelayOptions DefaultOptions() {
+    return {.address_ = "10.0.0.1:7000",
+            .zone_ = "z1",
+            .region_ = "r1",
+            .service_ = "svc",
+            .backend_address_ = "10.0.0.1:8000",
+            .boot_ = 1,
+            .seed_ = 1};
+  }
+
+  static RouteTable Table(std::uint64_t version) {
+    RouteTable table;
+    table.version_ = version;
+    table.routes_ = {{.name_ = "read",
+                      .host_ = "h",
+                      .path_prefix_ = "/read/",
+                      .idempotent_ = true,
+                      .timeout_ = std::chrono::milliseconds(1000),
+                      .latency_objective_ = std::chrono::milliseconds(400),
+                      .priority_ = 1,
+                      .max_attempts_ = 2,
+                      .services_ = {{"svc", 1.0}}},
+                     {.name_ = "book",
+                      .host_ = "h",
+                      .path_prefix_ = "/book/",
+                      .timeout_ = std::chrono::milliseconds(1000),
+                      .latency_objective_ = std::chrono::milliseconds(400),
+                      .max_attempts_ = 2,
+                      .services_ = {{"svc", 1.0}}}};
+    IndexRoutes(table);
+    return table;
+  }
+
+  void Feed(RelayEventBody body) {
+    for (auto& effect : StepRelay(state_, options_, {now_, std::move(body)})) {
+      effects_.push_back(std::move(effect));
+    }
+  }
+
+  // Lets time pass in steps of 10 ms.
+  void Pass(Duration time) {
+    constexpr Duration kStep = std::chrono::milliseconds(10);
+    for (Duration left = time; left > Duration::zero(); left -= kStep) {
+      now_ += kStep;
+      Feed(RelayTimeReached{});
+    }
+  }
+
+  // Moves the clock at once, as after a suspension.
+  void Jump(Duration time) { now_ += time; }
+
+  void LearnTable(std::uint64_t version = 1) {
+    Feed(TableRead{.table_ = Table(version), .text_ = "text"});
+  }
+
+  void HearBackend(const char* instance = "i-1", std::int64_t born = 1,
+                   std::uint64_t sequence = 1, bool draining = false) {
+    Feed(BackendHeard{.instance_ = instance,
+                      .service_ = "svc",
+                      .address_ = options_.backend_address_,
+                      .started_at_ms_ = born,
+                      .sequence_ = sequence,
+                      .slots_ = 2,
+                      .draining_ = draining});
+  }
+
+  // Another host of the service, connected both ways.
+  void AddPeer(const std::string& address, std::uint64_t connection) {
+    Feed(LinkReceived{
+        .connection_id_ = connection,
+        .message_ = HostStatus{.address_ = address,
+                               .boot_ = connection,
+                               .sent_at_ = now_.time_since_epoch(),
+                               .zone_ = "z1",
+                               .region_ = "r1",
+                               .service_ = "svc",
+                               .instance_ = "i-" + address,
+                               .backend_ = BackendState::kReady,
+                               .slots_ = 4}});
+    Feed(PeerConnected{address});
+  }
+
+  void Request(std::uint64_t id, const char* target,
+               Duration remaining = std::chrono::milliseconds(900)) {
+    Feed(RequestArrived{
+        .request_id_ = id,
+        .trace_id_ = "t" + std::to_string(id),
+        .host_ = "h",
+        .remaining_ = remaining,
+        .request_ = {.method_ = "GET", .target_ = target}});
+  }
+
+  // The effects of one type since the last call for it, which are removed.
+  template <typename Effect>
+  std::vector<Effect> Take() {
+    std::vector<Effect> taken;
+    std::erase_if(effects_, [&](RelayEffect& effect) {
+      auto* match = std::get_if<Effect>(&effect);
+      if (match != nullptr) taken.push_back(std::move(*match));
+      return match != nullptr;
+    });
+    return taken;
+  }
+
+  // Orders sent to peers since the last call.
+  std::vector<std::pair<std::string, RunOrder>> TakeOrders() {
+    std::vector<std::pair<std::string, RunOrder>> orders;
+    for (SendToPeer& sent : Take<SendToPeer>()) {
+      if (auto* order = std::get_if<RunOrder>(&sent.message_)) {
+        orders.emplace_back(sent.peer_, std::move(*order));
+      }
+    }
+    return orders;
+  }
+
+  // Status of the one answer given since the last call; 0 when there is none.
+  int TakeStatus() {
+    const auto answers = Take<AnswerRequest>();
+    CPPUNIT_ASSERT(answers.size() <= 1);
+    return answers.empty() ? 0 : answers.front().response_.status_;
+  }
+
+  RelayState& state() { return state_; }
+  Timestamp now() const { return now_; }
+
+ private:
+  RelayOptions options_;
+  Timestamp now_{std::chrono::seconds(1000)};
+  RelayState state_;
+  std::vector<RelayEffect> effects_;
+};
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_RELAY_TESTS_RELAY_BENCH_H_
--- a/src/relaylink/tests/relaylink_tests.cc
+++ b/src/relaylink/tests/relaylink_tests.cc
@@ -1,1 +1,102 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include "relaylink/link_codec.h"
+
+namespace jujubefront {
+namespace {
+
+// A message and its bytes after another round of coding are the same.
+void CheckRoundTrip(const LinkMessage& message) {
+  const std::string bytes = EncodeLinkMessage(message);
+  const LinkDecoding decoding = DecodeLinkMessage(bytes + "rest");
+  CPPUNIT_ASSERT(!decoding.malformed_);
+  CPPUNIT_ASSERT_EQUAL(bytes.size(), decoding.consumed_);
+  CPPUNIT_ASSERT(decoding.message_->index() == message.index());
+  CPPUNIT_ASSERT(EncodeLinkMessage(*decoding.message_) == bytes);
+}
+
+std::vector<LinkMessage> Samples() {
+  HostStatus status{.address_ = "10.0.0.1:7000",
+                    .boot_ = 5,
+                    .zone_ = "z",
+                    .backend_ = BackendState::kDraining,
+                    .slots_ = 9,
+                    .peers_ = {"a", "b"},
+                    .suspects_ = {1, 2}};
+  status.profiles_.push_back({.route_ = "r",
+                              .service_ = "",
+                              .runs_ = 4,
+                              .slot_seconds_ = 0.5,
+                              .calls_ = {{"c", 2.0}}});
+  status.demands_.push_back(
+      {.route_ = "r", .priority_ = 1, .per_second_ = 2.5});
+  RunReply reply{.send_id_ = 4,
+                 .outcome_ = RunOutcome::kBroken,
+                 .reason_ = NotRunReason::kRejected,
+                 .calls_failed_ = true};
+  reply.response_ = {.status_ = 200,
+                     .headers_ = {{"A", "b"}},
+                     .body_ = std::string("x\0y", 3)};
+  return {status,
+          RunOrder{.send_id_ = 3,
+                   .instance_ = "i",
+                   .idempotent_ = true,
+                   .remaining_ = Duration(77),
+                   .request_ = {.method_ = "PUT",
+                                .target_ = "/a",
+                                .headers_ = {{"H", "v"}, {"H", "w"}},
+                                .body_ = std::string(5000, 'z')}},
+          reply,
+          RunCancel{.send_id_ = 9},
+          PeerPing{.number_ = 1},
+          PeerPong{.number_ = 2},
+          TableQuery{.newer_than_ = 3},
+          TableText{.version_ = 4, .text_ = "{}"}};
+}
+
+class RelaylinkTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelaylinkTests);
+  CPPUNIT_TEST(KeepsEveryMessage);
+  CPPUNIT_TEST(WaitsForWholeMessages);
+  CPPUNIT_TEST(SurvivesAnyBytes);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void KeepsEveryMessage() {
+    for (const LinkMessage& message : Samples()) CheckRoundTrip(message);
+  }
+
+  void WaitsForWholeMessages() {
+    for (const LinkMessage& message : Samples()) {
+      const std::string bytes = EncodeLinkMessage(message);
+      for (std::size_t size = 0; size < bytes.size(); size += 7) {
+        const LinkDecoding decoding =
+            DecodeLinkMessage(std::string_view(bytes).substr(0, size));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, decoding.consumed_);
+        CPPUNIT_ASSERT(!decoding.malformed_);
+      }
+    }
+  }
+
+  // Damaged messages are told apart or decoded to something; they never end
+  // the process.
+  void SurvivesAnyBytes() {
+    CPPUNIT_ASSERT(rc::check("any bytes", [](const std::string& bytes) {
+      DecodeLinkMessage(bytes);
+    }));
+    CPPUNIT_ASSERT(rc::check("a damaged message", [] {
+      const auto samples = Samples();
+      const auto which = *rc::gen::inRange<std::size_t>(0, samples.size());
+      std::string bytes = EncodeLinkMessage(samples[which]);
+      const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+      bytes[at] = *rc::gen::arbitrary<char>();
+      DecodeLinkMessage(bytes);
+    }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelaylinkTests);
+
+}  // namespace
+}  // namespace jujubefront
--- a/src/waiting/tests/waiting_tests.cc
+++ b/src/waiting/tests/waiting_tests.cc
@@ -1,1 +1,83 @@
 #include <cppunit/extensions/HelperMacros.h>
+
+#include "waiting/waiting.h"
+
+namespace jujubefront {
+namespace {
+
+constexpr Timestamp kNow{std::chrono::seconds(100)};
+
+WaitingRun Run(std::uint64_t id, bool is_call, std::uint32_t priority,
+               int start_by_ms = 1000) {
+  return {.run_id_ = id,
+          .is_call_ = is_call,
+          .priority_ = priority,
+          .arrived_ = kNow + Duration(id),
+          .start_by_ = kNow + std::chrono::milliseconds(start_by_ms)};
+}
+
+class WaitingTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WaitingTests);
+  CPPUNIT_TEST(StartsCallsThenPriorityThenArrival);
+  CPPUNIT_TEST(TakesOnlyWhatStartsInTime);
+  CPPUNIT_TEST(ExpiresWhatHasWaitedTooLong);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void StartsCallsThenPriorityThenArrival() {
+    const SlotUse use{.slots_ = 8};
+    WaitingQueue queue;
+    for (const WaitingRun& run : {Run(1, false, 2), Run(2, false, 0),
+                                  Run(3, true, 2), Run(4, false, 0)}) {
+      CPPUNIT_ASSERT(Enqueue(queue, use, kNow, run));
+    }
+    for (const std::uint64_t expected : {3, 2, 4, 1}) {
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{expected}, TakeNext(queue)->run_id_);
+    }
+    CPPUNIT_ASSERT(!TakeNext(queue));
+  }
+
+  // A burst meets a backend server whose slots are all taken.
+  void TakesOnlyWhatStartsInTime() {
+    struct Row {
+      std::uint32_t slots_;
+      std::uint32_t running_;
+      int start_by_ms_;
+      bool expected_;
+    };
+    const Row rows[] = {
+        {2, 1, 0, true},      // a slot is free
+        {2, 2, 40, false},    // 50 ms until the next slot
+        {2, 2, 60, true},
+        {10, 10, 11, true},   // ten slots free up ten times as fast
+        {0, 0, 1000, false},  // a backend server without slots
+    };
+    for (const Row& row : rows) {
+      WaitingQueue queue;
+      const SlotUse use{.slots_ = row.slots_,
+                        .running_ = row.running_,
+                        .mean_hold_ = std::chrono::milliseconds(100)};
+      CPPUNIT_ASSERT_EQUAL(
+          row.expected_,
+          Enqueue(queue, use, kNow, Run(1, false, 0, row.start_by_ms_)));
+    }
+  }
+
+  void ExpiresWhatHasWaitedTooLong() {
+    WaitingQueue queue;
+    const SlotUse use{.slots_ = 8};
+    CPPUNIT_ASSERT(Enqueue(queue, use, kNow, Run(1, false, 0, 10)));
+    CPPUNIT_ASSERT(Enqueue(queue, use, kNow, Run(2, false, 0, 30)));
+    const auto expired =
+        TakeExpired(queue, kNow + std::chrono::milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, expired.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, expired.front());
+    CPPUNIT_ASSERT(!RemoveWaiting(queue, 1));
+    CPPUNIT_ASSERT(RemoveWaiting(queue, 2));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WaitingTests);
+
+}  // namespace
+}  // namespace jujubefront
