--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -30,13 +30,22 @@
   if (use > options.crowded_share_) {
     finish += Scaled(place.hold_, use - options.crowded_share_);
   }
-  if (place.distance_ == Distance::kSameRegion) finish += options.zone_price_;
+  if (place.distance_ == Distance::kSameRegion) {
+    finish += std::max(options.least_zone_price_,
+                       Scaled(need.latency_objective_,
+                              options.zone_price_share_));
+  }
   if (place.distance_ == Distance::kOtherRegion) {
     finish += options.region_price_;
   }
   return finish + Scaled(need.latency_objective_, place.failure_share_);
 }
 
+bool HasRoomForCrossing(const Place& place, const PlacementOptions& options) {
+  return place.load_ <=
+         static_cast<double>(place.slots_) * (1.0 - options.far_free_share_);
+}
+
 std::optional<std::size_t> ChoosePlace(const std::vector<Place>& places,
                                        const PlacementOptions& options,
                                        const PlacementNeed& need, double draw) {
@@ -44,9 +53,13 @@
   finish.reserve(places.size());
   Duration best = Duration::max();
   for (const Place& place : places) {
-    finish.push_back(ExpectedFinish(place, options, need));
+    const bool open = place.distance_ != Distance::kOtherRegion ||
+                      HasRoomForCrossing(place, options);
+    finish.push_back(open ? ExpectedFinish(place, options, need)
+                          : Duration::max());
     best = std::min(best, finish.back());
   }
+  if (best == Duration::max()) return std::nullopt;
   std::vector<std::size_t> equal;
   for (std::size_t i = 0; i < places.size(); ++i) {
     if (finish[i] <= best + kSameFinish) equal.push_back(i);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -25,9 +25,14 @@
 
 // Settings of placing.
 struct PlacementOptions {
-  // Round trips, and what a crossing costs in bytes, as time.
-  Duration zone_price_ = std::chrono::milliseconds(25);
+  // What a crossing costs in bytes and round trips, as time: for another zone
+  // a part of the latency objective, but at least the given time.
+  Duration least_zone_price_ = std::chrono::milliseconds(25);
+  double zone_price_share_ = 0.15;
   Duration region_price_ = std::chrono::milliseconds(2000);
+  // Part of the slots that must be free in another region: where both regions
+  // are full, a crossing gains nothing.
+  double far_free_share_ = 0.3;
   // Part of the slots above which a backend server slows down.
   double crowded_share_ = 0.9;
 };
@@ -42,6 +47,9 @@
 Duration ExpectedFinish(const Place& place, const PlacementOptions& options,
                         const PlacementNeed& need);
 
+// Whether a host of another region has enough free slots to take requests.
+bool HasRoomForCrossing(const Place& place, const PlacementOptions& options);
+
 // Index of the place with the least expected finish, or nothing when there is
 // none. `draw` in [0, 1) decides between equals.
 std::optional<std::size_t> ChoosePlace(const std::vector<Place>& places,
--- a/src/placement/tests/placement_tests.cc
+++ b/src/placement/tests/placement_tests.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(PicksTheEarliestFinish);
   CPPUNIT_TEST(SpreadsOverEquals);
   CPPUNIT_TEST(FindsNothingAmongNone);
+  CPPUNIT_TEST(CrossesToAnotherRegionOnlyWhereThereIsRoom);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -29,6 +30,8 @@
     flooded.load_ = 60;
     Place slow = calm;
     slow.hold_ = 3 * kHold;
+    Place slower = calm;
+    slower.hold_ = 2 * kHold;
     Place failing = calm;
     failing.failure_share_ = 0.5;
     Place other_zone = calm;
@@ -41,6 +44,7 @@
         {"sound before failing", failing, calm, 1},
         {"own zone before another", other_zone, calm, 1},
         {"another zone before a long wait", flooded, other_zone, 1},
+        {"a slower one before another zone", slower, other_zone, 0},
         {"a long wait before another region", flooded, other_region, 0},
     };
     for (const Row& row : rows) {
@@ -57,6 +61,24 @@
                          *ChoosePlace({place, place}, {}, {}, 0.9));
   }
 
+  // Both regions are overloaded: what the own region has refused must not load
+  // the narrow link as well.
+  void CrossesToAnotherRegionOnlyWhereThereIsRoom() {
+    struct Row {
+      double load_;
+      bool expected_;
+    };
+    const Row rows[] = {{0, true}, {7, true}, {8, false}, {30, false}};
+    for (const Row& row : rows) {
+      const Place far{.distance_ = Distance::kOtherRegion,
+                      .slots_ = 10,
+                      .load_ = row.load_,
+                      .hold_ = kHold};
+      CPPUNIT_ASSERT_EQUAL(row.expected_,
+                           ChoosePlace({far}, {}, {}, 0.0).has_value());
+    }
+  }
+
   void FindsNothingAmongNone() {
     CPPUNIT_ASSERT(!ChoosePlace({}, {}, {}, 0.5));
   }
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -53,9 +53,22 @@
                       (0.5 + unit)));
 }
 
+// Costs and demand are planned within a region, so that hosts of others are
+// told neither.
+HostStatus ForOtherRegion(HostStatus status) {
+  status.profiles_.clear();
+  status.demands_.clear();
+  return status;
+}
+
 void SendStatus(RelayStep& step, Peer& peer, const HostStatus& status) {
   peer.status_sent_at_ = step.now_;
   ++step.state_.counters_.statuses_sent_;
+  if (peer.known_ && peer.status_.region_ != step.options_.region_) {
+    step.effects_.emplace_back(SendToPeer{
+        .peer_ = peer.address_, .message_ = ForOtherRegion(status)});
+    return;
+  }
   step.effects_.emplace_back(
       SendToPeer{.peer_ = peer.address_, .message_ = status});
 }
@@ -98,11 +111,17 @@
 }
 
 Duration StatusInterval(const RelayStep& step, const Peer& peer) {
-  const bool far =
-      DistanceTo(step.options_, peer.status_) == Distance::kOtherRegion;
-  const Duration base = far ? step.options_.far_status_interval_
-                            : step.options_.status_interval_;
-  return IsBusy(step.state_) ? base : base * kIdleStatusFactor;
+  const RelayOptions& options = step.options_;
+  const Duration idle = options.zone_status_interval_ * kIdleStatusFactor;
+  switch (DistanceTo(options, peer.status_)) {
+    case Distance::kSameZone:
+      return IsBusy(step.state_) ? options.zone_status_interval_ : idle;
+    case Distance::kSameRegion:
+      return IsBusy(step.state_) ? options.region_status_interval_ : idle;
+    case Distance::kOtherRegion:
+      return options.far_status_interval_;
+  }
+  return idle;
 }
 
 std::vector<RouteProfile> OwnProfiles(const RelayState& state) {
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -43,9 +43,11 @@
   Duration heartbeat_interval_ = std::chrono::milliseconds(1500);
   // Heartbeats that may be missed before a backend server counts as silent.
   std::uint32_t heartbeats_missed_ = 3;
-  // Intervals of status messages within the region and across regions.
-  Duration status_interval_ = std::chrono::milliseconds(250);
-  Duration far_status_interval_ = std::chrono::milliseconds(1000);
+  // Intervals of status messages to hosts of the zone, of the region and of
+  // other regions. Changes of state are told at once.
+  Duration zone_status_interval_ = std::chrono::milliseconds(250);
+  Duration region_status_interval_ = std::chrono::milliseconds(500);
+  Duration far_status_interval_ = std::chrono::seconds(4);
   // Window over which demand and run profiles are averaged.
   Duration load_window_ = std::chrono::milliseconds(1000);
   Duration reconnect_interval_ = std::chrono::milliseconds(500);
--- /dev/null
+++ b/standins/platform/path_tests.cc
@@ -0,0 +1,239 @@
+#include <signal.h>
+
+#include <QCoreApplication>
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+
+#include "netio/epoll_dispatcher.h"
+#include "sidecar_hosts.h"
+
+namespace jujubefront {
+namespace {
+
+std::string sidecar_program;  // set from the command line
+
+Http1Request Client(const std::string& trace_id, const std::string& target,
+                    const std::string& method = "GET") {
+  return {.method_ = method,
+          .target_ = target,
+          .headers_ = {{"Host", "test.example"},
+                       {"X-Request-Id", trace_id},
+                       {"X-Deadline-Ms", "1400"},
+                       {"X-Caller-Service", "forged"}}};
+}
+
+int Runs(const SidecarHosts& hosts, const std::string& trace_id) {
+  int runs = 0;
+  for (const SidecarHost& host : const_cast<SidecarHosts&>(hosts).hosts()) {
+    const auto found = host.backend_->runs().find(trace_id);
+    if (found != host.backend_->runs().end()) runs += found->second;
+  }
+  return runs;
+}
+
+// A deployment of two hosts whose relays know the document and each other.
+struct Deployment {
+  Deployment() : hosts_({.program_ = sidecar_program}) {
+    hosts_.store().PutDocument(SampleDocument(1, "jobs"));
+    CPPUNIT_ASSERT(hosts_.Start());
+    for (SidecarHost& host : hosts_.hosts()) {
+      CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(10), [&] {
+        return Fetch(host.clients(), Client("warm", "/read/1")).status_ == 200;
+      }));
+    }
+  }
+
+  SidecarHost& host(std::size_t index) { return hosts_.hosts()[index]; }
+
+  SidecarHosts hosts_;
+};
+
+// The whole path with real processes on loopback.
+class PathTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PathTests);
+  CPPUNIT_TEST(ServesAndDrainsAndStops);
+  CPPUNIT_TEST(AnswersTrulyWhenBackendServersFail);
+  CPPUNIT_TEST(TakesOverDocumentsThroughOutages);
+  CPPUNIT_TEST(SurvivesPeersThatAreKilled);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ServesAndDrainsAndStops() {
+    Deployment deployment;
+    const Http1Response answer =
+        Fetch(deployment.host(0).clients(), Client("one", "/book/1", "POST"));
+    CPPUNIT_ASSERT_EQUAL(200, answer.status_);
+    CPPUNIT_ASSERT_EQUAL(std::string("one"),
+                         *FindHeader(answer.headers_, "X-Request-Id"));
+    CPPUNIT_ASSERT(FindHeader(answer.headers_, "X-Server-Stamp") != nullptr);
+    CPPUNIT_ASSERT_EQUAL(1, Runs(deployment.hosts_, "one"));
+    CPPUNIT_ASSERT_EQUAL(
+        404,
+        Fetch(deployment.host(0).clients(), Client("x", "/none/")).status_);
+    // Once draining is acknowledged, nothing new arrives.
+    deployment.host(0).backend_->Drain();
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(5), [&] {
+      return deployment.host(0).backend_->drain_acknowledged();
+    }));
+    const auto before = deployment.host(0).backend_->runs().size();
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, Fetch(deployment.host(0).clients(),
+                                      Client("d" + std::to_string(i),
+                                             "/read/1"))
+                                    .status_);
+    }
+    CPPUNIT_ASSERT_EQUAL(before, deployment.host(0).backend_->runs().size());
+    for (const auto& [name, value] :
+         deployment.host(1).backend_->last_headers()) {
+      if (name != "X-Caller-Service") continue;
+      CPPUNIT_ASSERT_EQUAL(std::string("jobs"), value);
+    }
+    // A planned stop answers what it has taken and ends with code 0.
+    QProcess* process = deployment.host(0).process_.get();
+    process->terminate();
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(3), [&] {
+      return Fetch(deployment.host(0).ready(),
+                   {.method_ = "GET", .target_ = "/jujubefront/readyz"})
+                 .status_ == 503;
+    }));
+    CPPUNIT_ASSERT_EQUAL(
+        200, Fetch(deployment.host(0).clients(), Client("last", "/read/1"))
+                 .status_);
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(10), [&] {
+      return process->state() == QProcess::NotRunning;
+    }));
+    CPPUNIT_ASSERT_EQUAL(0, process->exitCode());
+  }
+
+  void AnswersTrulyWhenBackendServersFail() {
+    struct Row {
+      const char* name_;
+      bool lose_answers_;
+      int reject_status_;
+      const char* target_;
+      int status_;
+      int least_runs_;
+      int most_runs_;
+    };
+    const Row rows[] = {
+        {"rejected", false, 503, "/read/1", 503, 0, 0},
+        {"booking-rejected", false, 503, "/book/1", 503, 0, 0},
+        {"lost", true, 0, "/read/1", 502, 1, 2},
+        {"booking-lost", true, 0, "/book/1", 502, 1, 1},
+    };
+    Deployment deployment;
+    for (const Row& row : rows) {
+      for (SidecarHost& host : deployment.hosts_.hosts()) {
+        host.backend_->LoseAnswers(row.lose_answers_);
+        host.backend_->RejectWith(row.reject_status_);
+      }
+      const Http1Response answer = Fetch(deployment.host(0).clients(),
+                                         Client(row.name_, row.target_));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.status_, answer.status_);
+      const int runs = Runs(deployment.hosts_, row.name_);
+      CPPUNIT_ASSERT_MESSAGE(row.name_, runs >= row.least_runs_);
+      CPPUNIT_ASSERT_MESSAGE(row.name_, runs <= row.most_runs_);
+      const bool told = FindHeader(answer.headers_, "Retry-After") != nullptr;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.status_ == 503, told);
+    }
+  }
+
+  void TakesOverDocumentsThroughOutages() {
+    Deployment deployment;
+    const auto served = [&](const char* target) {
+      return [&deployment, target] {
+        for (SidecarHost& host : deployment.hosts_.hosts()) {
+          if (Fetch(host.clients(), Client("v", target)).status_ != 200) {
+            return false;
+          }
+        }
+        return true;
+      };
+    };
+    const std::string route =
+        R"({"resource_type":"routes","metadata":{"name":"NAME"},"spec":{)"
+        R"("host":"test.example","path_prefix":"/NAME/","kind":"idempotent",)"
+        R"("timeout":"1s","aim":"500ms","priority":1,"service":"jobs",)"
+        R"("max_attempts":2}},)";
+    const auto named = [&](const std::string& name) {
+      return QString::fromStdString(route)
+          .replace("NAME", QString::fromStdString(name))
+          .toStdString();
+    };
+    StoreStandin& store = deployment.hosts_.store();
+    store.PutDocument(SampleDocument(2, "jobs", named("two")));
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(5), served("/two/1")));
+    for (const StoreMode mode : {StoreMode::kBusy, StoreMode::kSilent}) {
+      store.SetMode(mode);
+      WaitUntil(std::chrono::seconds(1), [] { return false; });
+      store.SetMode(StoreMode::kServing);
+    }
+    store.PutDocument(SampleDocument(5, "jobs", named("five")));
+    store.Compact();
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(12), served("/five/1")));
+    CPPUNIT_ASSERT_EQUAL(
+        404, Fetch(deployment.host(0).clients(), Client("old", "/two/1"))
+                 .status_);
+  }
+
+  void SurvivesPeersThatAreKilled() {
+    Deployment deployment;
+    deployment.host(0).backend_->Drain();
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(5), [&] {
+      return deployment.host(0).backend_->drain_acknowledged();
+    }));
+    for (const int signal : {SIGKILL, SIGSTOP}) {
+      QProcess* process = deployment.host(1).process_.get();
+      ::kill(static_cast<pid_t>(process->processId()), signal);
+      // Nobody is left to run it, and it is not known that it did not run.
+      const int status = Fetch(deployment.host(0).clients(),
+                               Client("k" + std::to_string(signal), "/book/1"))
+                             .status_;
+      CPPUNIT_ASSERT(status == 502 || status == 503 || status == 504);
+      if (signal == SIGSTOP) {
+        ::kill(static_cast<pid_t>(process->processId()), SIGCONT);
+      } else {
+        process->waitForFinished();
+        deployment.hosts_.StartProcess(deployment.host(1));
+      }
+      CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(15), [&] {
+        return Fetch(deployment.host(0).clients(), Client("again", "/read/1"))
+                   .status_ == 200;
+      }));
+    }
+    for (const SidecarHost& host : deployment.hosts_.hosts()) {
+      for (const auto& [trace_id, runs] : host.backend_->runs()) {
+        if (trace_id.starts_with("k")) CPPUNIT_ASSERT(runs <= 1);
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PathTests);
+
+}  // namespace
+}  // namespace jujubefront
+
+// path_tests PROGRAM [TEST]: PROGRAM is the path of jujubefront-sidecar.
+int main(int argc, char** argv) {
+  QCoreApplication::setEventDispatcher(new jujubefront::EpollDispatcher);
+  QCoreApplication application(argc, argv);
+  if (argc < 2) return 2;
+  jujubefront::sidecar_program = argv[1];
+  CppUnit::TestResult controller;
+  CppUnit::TestResultCollector collector;
+  CppUnit::BriefTestProgressListener progress;
+  controller.addListener(&collector);
+  controller.addListener(&progress);
+  CppUnit::TestRunner runner;
+  runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  runner.run(controller, argc > 2 ? argv[2] : "");
+  CppUnit::CompilerOutputter(&collector, std::cerr).write();
+  return collector.wasSuccessful() && collector.runTests() > 0 ? 0 : 1;
+}
