--- a/src/allocation/allocation.h
+++ b/src/allocation/allocation.h
@@ -26,9 +26,9 @@
 
 // Settings of the allocation.
 struct AllocationOptions {
-  // Part of the slots of a service that is given out; the rest absorbs the
-  // unevenness of arrivals.
-  double utilisation_ = 0.9;
+  // Part of the slots of a service that is given out. Calls may wait a little,
+  // which evens out arrivals, so that nothing has to be held back.
+  double utilisation_ = 1.0;
 };
 
 // Slot seconds that one run of a route needs at each service, with everything
