--- a/src/allocation/allocation.cc
+++ b/src/allocation/allocation.cc
@@ -10,8 +10,8 @@
 // Runs a slot from which a service counts as pressed, and from which what is
 // given out of it shrinks or grows again.
 constexpr double kPressedBusy = 0.85;
-constexpr double kWaitingBusy = 1.4;
-constexpr double kRelaxedBusy = 1.15;
+constexpr double kWaitingBusy = 1.25;
+constexpr double kRelaxedBusy = 1.05;
 constexpr double kShrink = 0.95;
 constexpr double kGrow = 1.1;
 constexpr double kLeastCorrection = 0.6;
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -428,11 +428,12 @@
   Arm(step, request.deadline_, RelayTimerKind::kRequestDeadline, id);
   if (request.is_call_) {
     ++step.state_.counters_.calls_;
-    // A call is as important as the request that it serves.
+    // A call is as important as the request that it serves; where that is not
+    // known, the most important one that it may serve counts.
     const auto parent = step.state_.runs_.find(request.parent_run_);
-    if (parent != step.state_.runs_.end()) {
-      request.priority_ = parent->second.order_.priority_;
-    }
+    request.priority_ = parent == step.state_.runs_.end()
+                            ? 0
+                            : parent->second.order_.priority_;
   }
   if (state.condemned_.contains(request.content_)) {
     return Refuse(step, request, ReasonText(NotRunReason::kCrashSuspect));
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -7,8 +7,9 @@
 namespace jujubefront {
 namespace {
 
-// Part of the latency objective for which a root request may wait.
-constexpr int kWaitPart = 8;
+// Part of the latency objective for which a root request may wait. What is not
+// expected to start within it is refused on arrival.
+constexpr int kWaitPart = 4;
 constexpr Duration kLeastWait = std::chrono::milliseconds(20);
 constexpr Duration kSweepInterval = std::chrono::milliseconds(20);
 constexpr double kStatsWeight = 0.05;
--- a/src/waiting/waiting.h
+++ b/src/waiting/waiting.h
@@ -20,9 +20,10 @@
   Timestamp arrived_;
   Timestamp start_by_;  // a start after this time is of no use
 
-  // Calls go first, since work has been spent on their callers.
+  // Importance of the root request first; among equals calls, since work has
+  // been spent on their callers.
   auto Rank() const {
-    return std::make_tuple(!is_call_, priority_, arrived_, run_id_);
+    return std::make_tuple(priority_, !is_call_, arrived_, run_id_);
   }
   bool operator<(const WaitingRun& other) const {
     return Rank() < other.Rank();
