--- a/src/allocation/allocation.cc
+++ b/src/allocation/allocation.cc
@@ -12,8 +12,8 @@
 constexpr double kPressedBusy = 0.85;
 constexpr double kWaitingBusy = 1.25;
 constexpr double kRelaxedBusy = 1.05;
-constexpr double kShrink = 0.95;
-constexpr double kGrow = 1.1;
+constexpr double kShrink = 0.97;
+constexpr double kGrow = 1.04;
 constexpr double kLeastCorrection = 0.6;
 
 using ServiceTotals = std::map<std::string, double>;
--- a/src/relay/internal/demand.cc
+++ b/src/relay/internal/demand.cc
@@ -5,7 +5,7 @@
 namespace jujubefront {
 namespace {
 
-constexpr double kDemandWeight = 0.6;
+constexpr double kDemandWeight = 0.4;
 // Routes without requests for so long, or with fewer a second, are forgotten.
 constexpr Duration kStatsLife = std::chrono::seconds(10);
 constexpr double kLeastDemand = 0.02;
