--- a/apps/sidecar/main.cc
+++ b/apps/sidecar/main.cc
@@ -201,8 +201,8 @@
                  "s,settings",
                  "settings file (TOML); default: the file that "
                  "JUJUBEFRONT_CONFIG names",
-                 cxxopts::value<std::string>())(
-                 "check-settings", "check the settings and exit");
+                 cxxopts::value<std::string>())("check-settings",
+                                                "check the settings and exit");
            },
        .run_ =
            [&](const cxxopts::ParseResult& arguments) {
--- a/src/allocation/allocation.cc
+++ b/src/allocation/allocation.cc
@@ -66,8 +66,8 @@
     for (const auto& [service, cost] : claim.cost_) {
       const auto room = left.find(service);
       if (room == left.end() || cost <= 0.0 || wanted[service] <= 0.0) continue;
-      claim.fraction_ = std::min(claim.fraction_, std::max(0.0, room->second) /
-                                                      wanted[service]);
+      claim.fraction_ = std::min(claim.fraction_,
+                                 std::max(0.0, room->second) / wanted[service]);
     }
   }
   for (const Claim& claim : claims) {
--- a/src/allocation/allocation.h
+++ b/src/allocation/allocation.h
@@ -12,8 +12,8 @@
 struct RouteProfile {
   std::string route_;
   std::string service_;
-  double runs_ = 0.0;          // weight of the measurement, in runs
-  double slot_seconds_ = 0.0;  // time for which a run holds its slot
+  double runs_ = 0.0;                    // weight of the measurement, in runs
+  double slot_seconds_ = 0.0;            // time for which a run holds its slot
   std::map<std::string, double> calls_;  // calls of a run, by called route
 };
 
--- a/src/base/duration_text.cc
+++ b/src/base/duration_text.cc
@@ -27,8 +27,8 @@
 std::optional<Duration> ParseDuration(std::string_view text) {
   const char* const text_end = text.data() + text.size();
   double number = 0.0;
-  const auto [end, error] = std::from_chars(text.data(), text_end, number,
-                                            std::chars_format::fixed);
+  const auto [end, error] =
+      std::from_chars(text.data(), text_end, number, std::chars_format::fixed);
   if (error != std::errc() || !(number >= 0.0)) return std::nullopt;
   const std::string_view suffix(end, static_cast<std::size_t>(text_end - end));
   for (const Unit& unit : kUnits) {
--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -85,21 +85,19 @@
   connection->id_ = ++last_id_;
   connection->socket_ = socket;
   connections_[connection->id_] = std::move(owned);
-  socket->SetHandlers({.on_connected_ =
-                           [connection] {
-                             if (connection->pending_.empty()) return;
-                             connection->written_ = true;
-                             const std::string text =
-                                 std::move(connection->pending_);
-                             connection->pending_.clear();
-                             connection->socket_->Write(text);
-                           },
-                       .on_data_ = [this, connection] { OnData(*connection); },
-                       .on_flushed_ = {},
-                       .on_end_ =
-                           [this, connection](ConnectionEnd end) {
-                             OnEnd(*connection, end);
-                           }});
+  socket->SetHandlers(
+      {.on_connected_ =
+           [connection] {
+             if (connection->pending_.empty()) return;
+             connection->written_ = true;
+             const std::string text = std::move(connection->pending_);
+             connection->pending_.clear();
+             connection->socket_->Write(text);
+           },
+       .on_data_ = [this, connection] { OnData(*connection); },
+       .on_flushed_ = {},
+       .on_end_ =
+           [this, connection](ConnectionEnd end) { OnEnd(*connection, end); }});
   return connection;
 }
 
@@ -166,8 +164,8 @@
   Http1Response response = connection.reader_->Take();
   if (!Belongs(connection, response)) {
     // A late second response to an earlier request: the right one follows.
-    const bool skip = response.keep_alive_ &&
-                      ++connection.foreign_ <= kMaxForeignResponses;
+    const bool skip =
+        response.keep_alive_ && ++connection.foreign_ <= kMaxForeignResponses;
     if (!skip) return Fail(connection, Http1Failure::kMalformed);
     if (!connection.socket_->inbox().empty()) OnData(connection);
     return;
--- a/src/http1/http1_codec.cc
+++ b/src/http1/http1_codec.cc
@@ -57,8 +57,8 @@
 template <typename Message>
 std::string Serialize(Message& message, const std::string& body,
                       bool with_body) {
-  typename http::serializer<Message::is_request::value,
-                            http::empty_body> serializer(message);
+  typename http::serializer<Message::is_request::value, http::empty_body>
+      serializer(message);
   serializer.split(true);
   std::string text;
   text.reserve(512 + body.size());
--- a/src/http1/http1_server.cc
+++ b/src/http1/http1_server.cc
@@ -42,7 +42,8 @@
 Http1Server::Http1Server(Http1ServerOptions options, Handlers handlers)
     : options_(options),
       handlers_(std::move(handlers)),
-      listener_(options.silence_, [this](TcpConnection* s) { OnConnection(s); }) {
+      listener_(options.silence_,
+                [this](TcpConnection* s) { OnConnection(s); }) {
   sweep_.setInterval(
       std::chrono::duration_cast<std::chrono::milliseconds>(kSweepInterval));
   connect(&sweep_, &QTimer::timeout, this, [this] { CloseStale(); });
@@ -81,18 +82,16 @@
   connection->since_ = Clock::now();
   connection->reader_ = std::make_unique<Http1RequestReader>(options_.limits_);
   connections_[connection->id_] = std::move(owned);
-  socket->SetHandlers({.on_connected_ = {},
-                       .on_data_ = [this, connection] { OnData(*connection); },
-                       .on_flushed_ =
-                           [this, connection] {
-                             if (connection->close_when_flushed_) {
-                               Remove(*connection);
-                             }
-                           },
-                       .on_end_ =
-                           [this, connection](ConnectionEnd) {
-                             OnEnd(*connection);
-                           }});
+  socket->SetHandlers(
+      {.on_connected_ = {},
+       .on_data_ = [this, connection] { OnData(*connection); },
+       .on_flushed_ =
+           [this, connection] {
+             if (connection->close_when_flushed_) {
+               Remove(*connection);
+             }
+           },
+       .on_end_ = [this, connection](ConnectionEnd) { OnEnd(*connection); }});
 }
 
 void Http1Server::OnData(Connection& connection) {
--- a/src/netio/epoll_dispatcher.cc
+++ b/src/netio/epoll_dispatcher.cc
@@ -117,8 +117,8 @@
   // descriptor removes it from epoll.
   DeleteRetired();
   std::array<epoll_event, kEventsPerRound> events;
-  const int count = epoll_wait(epoll_, events.data(), kEventsPerRound,
-                               WaitTime(may_wait));
+  const int count =
+      epoll_wait(epoll_, events.data(), kEventsPerRound, WaitTime(may_wait));
   for (int i = 0; i < count; ++i) {
     if (events[i].data.ptr == nullptr) {
       eventfd_t value = 0;
--- a/src/netio/tcp_connection.cc
+++ b/src/netio/tcp_connection.cc
@@ -97,8 +97,8 @@
   remote.sin_family = AF_INET;
   remote.sin_addr.s_addr = htonl(ip);
   remote.sin_port = htons(port);
-  const int result = ::connect(
-      descriptor, reinterpret_cast<sockaddr*>(&remote), sizeof(remote));
+  const int result = ::connect(descriptor, reinterpret_cast<sockaddr*>(&remote),
+                               sizeof(remote));
   const bool refused = result < 0 && errno != EINPROGRESS;
   auto* connection = new TcpConnection(descriptor, false, silence);
   connection->remote_ip_ = ip;
@@ -114,7 +114,8 @@
       reading_(connected),
       writing_(!connected) {
   Prepare(descriptor, silence);
-  EpollDispatcher::Instance().Add(descriptor, this, connected ? EPOLLIN : EPOLLOUT);
+  EpollDispatcher::Instance().Add(descriptor, this,
+                                  connected ? EPOLLIN : EPOLLOUT);
 }
 
 TcpConnection::~TcpConnection() {
@@ -218,8 +219,7 @@
 bool TcpConnection::HasPendingEnd() const {
   if (ended_ || descriptor_ < 0) return true;
   char byte = 0;
-  const ssize_t count =
-      ::recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t count = ::recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return count >= 0 || (errno != EAGAIN && errno != EINTR);
 }
 
--- a/src/netio/tcp_listener.cc
+++ b/src/netio/tcp_listener.cc
@@ -23,8 +23,7 @@
 }
 
 void TcpListener::incomingConnection(qintptr descriptor) {
-  on_connection_(
-      TcpConnection::Adopt(static_cast<int>(descriptor), silence_));
+  on_connection_(TcpConnection::Adopt(static_cast<int>(descriptor), silence_));
 }
 
 }  // namespace jujubefront
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -9,8 +9,8 @@
 constexpr Duration kSameFinish = std::chrono::milliseconds(2);
 
 Duration Scaled(Duration duration, double factor) {
-  return Duration(
-      static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
 }
 
 }  // namespace
@@ -31,9 +31,9 @@
     finish += Scaled(place.hold_, use - options.crowded_share_);
   }
   if (place.distance_ == Distance::kSameRegion) {
-    finish += std::max(options.least_zone_price_,
-                       Scaled(need.latency_objective_,
-                              options.zone_price_share_));
+    finish +=
+        std::max(options.least_zone_price_,
+                 Scaled(need.latency_objective_, options.zone_price_share_));
   }
   if (place.distance_ == Distance::kOtherRegion) {
     finish += options.region_price_;
@@ -65,8 +65,8 @@
     if (finish[i] <= best + kSameFinish) equal.push_back(i);
   }
   if (equal.empty()) return std::nullopt;
-  const auto pick = static_cast<std::size_t>(
-      draw * static_cast<double>(equal.size()));
+  const auto pick =
+      static_cast<std::size_t>(draw * static_cast<double>(equal.size()));
   return equal[std::min(pick, equal.size() - 1)];
 }
 
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -18,7 +18,7 @@
   std::string host_;
   Distance distance_ = Distance::kSameZone;
   std::uint32_t slots_ = 0;
-  double load_ = 0.0;  // runs that hold or wait for a slot
+  double load_ = 0.0;                 // runs that hold or wait for a slot
   Duration hold_ = Duration::zero();  // time of one run, by measurement
   double failure_share_ = 0.0;        // recent own experience, in [0, 1]
 };
--- a/src/relay/internal/demand.cc
+++ b/src/relay/internal/demand.cc
@@ -51,7 +51,8 @@
     return step.now_ - entry.second.last_at_ > kStatsLife;
   });
   std::erase_if(state.demands_, [](const auto& entry) {
-    return entry.second.counted_ == 0 && entry.second.per_second_ < kLeastDemand;
+    return entry.second.counted_ == 0 &&
+           entry.second.per_second_ < kLeastDemand;
   });
 }
 
@@ -139,8 +140,7 @@
   meter.usual_deadline_ = std::max(remaining, meter.usual_deadline_);
 }
 
-Origin FindOrigin(RelayStep& step, const RouteRule& route,
-                  Timestamp deadline) {
+Origin FindOrigin(RelayStep& step, const RouteRule& route, Timestamp deadline) {
   const std::uint64_t parent =
       FindParentRun(step, deadline, kDeadlineTolerance);
   return {.is_call_ =
@@ -161,9 +161,9 @@
         static_cast<double>(meter.usual_deadline_.count()) * kDeadlineDecay));
   }
   CloseCallWindow(step);
-  state.retry_allowance_ = ShareAllowance(
-      step.options_.retry_ratio_, step.options_.retry_slack_,
-      state.peers_.size(), step.options_.retry_safety_);
+  state.retry_allowance_ =
+      ShareAllowance(step.options_.retry_ratio_, step.options_.retry_slack_,
+                     state.peers_.size(), step.options_.retry_safety_);
   RegionView view = ViewRegion(step);
   const std::map<std::string, double> slots = PressedSlots(step, view);
   state.called_routes_ = FindCalledRoutes(view.arrivals_);
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -35,9 +35,9 @@
 // answer is still of use, so that the refused do not return together.
 Duration RetryAfterFor(RelayStep& step, const OpenRequest& request) {
   const Duration left = request.deadline_ - step.now_;
-  const Duration most =
-      std::max(kLeastRetryAfter, std::min(left / kRetryAfterPart,
-                                          (request.objective_at_ - step.now_) / 2));
+  const Duration most = std::max(
+      kLeastRetryAfter, std::min(left / kRetryAfterPart,
+                                 (request.objective_at_ - step.now_) / 2));
   const double unit = NextUnit(step.state_.random_);
   return kLeastRetryAfter +
          Duration(static_cast<std::int64_t>(
@@ -76,14 +76,14 @@
   step.effects_.emplace_back(Decision{
       .kind_ = kind,
       .trace_id_ = request.trace_id_,
-      .inputs_ = {{"route", request.route_},
-                  {"status", std::int64_t{status}},
-                  {"why", std::string(why)},
-                  {"sends", std::int64_t{request.tries_}},
-                  {"elapsed_us", (step.now_ - request.arrived_).count()},
-                  {"left_us", (request.deadline_ - step.now_).count()},
-                  {"table", static_cast<std::int64_t>(
-                                step.state_.table_.version_)}}});
+      .inputs_ = {
+          {"route", request.route_},
+          {"status", std::int64_t{status}},
+          {"why", std::string(why)},
+          {"sends", std::int64_t{request.tries_}},
+          {"elapsed_us", (step.now_ - request.arrived_).count()},
+          {"left_us", (request.deadline_ - step.now_).count()},
+          {"table", static_cast<std::int64_t>(step.state_.table_.version_)}}});
 }
 
 void Refuse(RelayStep& step, OpenRequest& request, std::string_view why) {
@@ -113,11 +113,11 @@
   step.effects_.emplace_back(Decision{
       .kind_ = DecisionKind::kRefused,
       .trace_id_ = arrived.trace_id_,
-      .inputs_ = {{"host", arrived.host_},
-                  {"status", std::int64_t{status}},
-                  {"why", std::string(why)},
-                  {"table", static_cast<std::int64_t>(
-                                step.state_.table_.version_)}}});
+      .inputs_ = {
+          {"host", arrived.host_},
+          {"status", std::int64_t{status}},
+          {"why", std::string(why)},
+          {"table", static_cast<std::int64_t>(step.state_.table_.version_)}}});
   step.effects_.emplace_back(
       AnswerRequest{.request_id_ = arrived.request_id_,
                     .response_ = OwnResponse(status, retry_after),
@@ -128,16 +128,14 @@
 double FailureShare(const Experience& experience, Timestamp now) {
   const double age = InSeconds(now - experience.noted_at_);
   if (experience.failure_share_ <= 0.0) return 0.0;
-  return experience.failure_share_ *
-         std::exp2(-age / kFailureHalfLifeSeconds);
+  return experience.failure_share_ * std::exp2(-age / kFailureHalfLifeSeconds);
 }
 
 void NoteExperience(RelayStep& step, Peer& peer, bool failed) {
   const double now_share = FailureShare(peer.experience_, step.now_);
-  peer.experience_ = {
-      .failure_share_ = now_share * (1.0 - kFailureWeight) +
-                        (failed ? kFailureWeight : 0.0),
-      .noted_at_ = step.now_};
+  peer.experience_ = {.failure_share_ = now_share * (1.0 - kFailureWeight) +
+                                        (failed ? kFailureWeight : 0.0),
+                      .noted_at_ = step.now_};
 }
 
 Duration HoldAt(const Peer& peer, const std::string& route) {
@@ -156,7 +154,8 @@
 void AssumeUnknownHolds(std::vector<Place>& places) {
   Duration fastest = Duration::max();
   for (const Place& place : places) {
-    if (place.hold_ > Duration::zero()) fastest = std::min(fastest, place.hold_);
+    if (place.hold_ > Duration::zero())
+      fastest = std::min(fastest, place.hold_);
   }
   if (fastest == Duration::max()) return;
   for (Place& place : places) {
@@ -186,8 +185,8 @@
         {.host_ = address,
          .distance_ = DistanceTo(step.options_, status),
          .slots_ = status.slots_,
-         .load_ = std::max<double>(reported, peer.in_flight_) +
-                  peer.sent_since_,
+         .load_ =
+             std::max<double>(reported, peer.in_flight_) + peer.sent_since_,
          .hold_ = HoldAt(peer, request.route_),
          .failure_share_ = FailureShare(peer.experience_, step.now_)});
   }
@@ -256,9 +255,9 @@
     return Refuse(step, request, "time is up");
   }
   const std::vector<Place> places = PlacesFor(step, request);
-  const auto chosen = ChoosePlace(
-      places, step.options_.placement_,
-      {.latency_objective_ = request.objective_}, NextUnit(step.state_.random_));
+  const auto chosen = ChoosePlace(places, step.options_.placement_,
+                                  {.latency_objective_ = request.objective_},
+                                  NextUnit(step.state_.random_));
   if (!chosen) return GiveUp(step, request, otherwise);
   SendTo(step, request, step.state_.peers_.at(places[*chosen].host_));
 }
@@ -273,8 +272,7 @@
       TreeRuns(step.state_.profiles_, request.route_);
   cost[request.service_] = std::max(1.0, cost[request.service_]);
   const double reserve = request.priority_ == 0 ? 0.0 : kRetryReserve;
-  const bool granted =
-      SpendRetries(step.state_.retry_budgets_, cost, reserve);
+  const bool granted = SpendRetries(step.state_.retry_budgets_, cost, reserve);
   ++(granted ? step.state_.counters_.resends_
              : step.state_.counters_.resends_denied_);
   return granted;
@@ -292,8 +290,7 @@
   peer.sent_since_ = 0;
   if (reply.outcome_ != RunOutcome::kAnswered) return;
   Duration& hold = peer.holds_[send.route_];
-  hold = hold == Duration::zero() ? reply.hold_
-                                  : (hold * 7 + reply.hold_) / 8;
+  hold = hold == Duration::zero() ? reply.hold_ : (hold * 7 + reply.hold_) / 8;
 }
 
 bool IsFailure(const RunReply& reply) {
@@ -360,8 +357,8 @@
                reply.calls_failed_ ? "a call of the run failed"
                                    : "answer of the backend server");
   } else {
-    LogOutcome(step, DecisionKind::kAnswered, request,
-               reply.response_.status_, "answer of the backend server");
+    LogOutcome(step, DecisionKind::kAnswered, request, reply.response_.status_,
+               "answer of the backend server");
   }
   Finish(step, request, std::move(reply.response_), false);
 }
@@ -389,8 +386,7 @@
   const Origin origin = FindOrigin(step, route, step.now_ + remaining);
   request.parent_run_ = origin.parent_run_;
   request.is_call_ = origin.is_call_;
-  request.service_ =
-      PickService(route, NextUnit(step.state_.random_));
+  request.service_ = PickService(route, NextUnit(step.state_.random_));
   request.request_ = std::move(arrived.request_);
   RemoveConnectionHeaders(request.request_.headers_);
   request.objective_at_ = step.now_ + route.latency_objective_;
@@ -401,6 +397,13 @@
   return request;
 }
 
+// A stopping node takes requests until clients have had time to move away, and
+// leaves the rest of its time to those that it has taken.
+bool IsClosing(const RelayStep& step) {
+  return step.state_.stopping_ &&
+         step.now_ - step.state_.stop_at_ >= step.options_.stop_linger_;
+}
+
 bool IsAdmitted(RelayStep& step, const OpenRequest& request) {
   if (request.is_call_) return true;
   const auto fraction = step.state_.admitted_.find(request.route_);
@@ -431,13 +434,15 @@
     // A call is as important as the request that it serves; where that is not
     // known, the most important one that it may serve counts.
     const auto parent = step.state_.runs_.find(request.parent_run_);
-    request.priority_ = parent == step.state_.runs_.end()
-                            ? 0
-                            : parent->second.order_.priority_;
+    request.priority_ =
+        parent == step.state_.runs_.end() ? 0 : parent->second.order_.priority_;
   }
   if (state.condemned_.contains(request.content_)) {
     return Refuse(step, request, ReasonText(NotRunReason::kCrashSuspect));
   }
+  if (!request.is_call_ && IsClosing(step)) {
+    return Refuse(step, request, ReasonText(NotRunReason::kStopping));
+  }
   if (!IsAdmitted(step, request)) {
     ++step.state_.counters_.refused_at_entry_;
     return Refuse(step, request, "not admitted under load");
@@ -532,9 +537,8 @@
     OpenRequest& request = open->second;
     if (!request.idempotent_ || request.send_id_ != send_id) continue;
     if (PlacesFor(step, request).empty()) continue;
-    step.effects_.emplace_back(
-        SendToPeer{.peer_ = peer.address_,
-                   .message_ = RunCancel{.send_id_ = send_id}});
+    step.effects_.emplace_back(SendToPeer{
+        .peer_ = peer.address_, .message_ = RunCancel{.send_id_ = send_id}});
     request.send_id_ = 0;
     request.may_have_run_ = true;
     TryElsewhere(step, request, "host does not answer");
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -36,11 +36,11 @@
 void Reply(RelayStep& step, const OpenRun& run, RunReply reply) {
   reply.send_id_ = run.order_.send_id_;
   reply.running_ = step.state_.running_;
-  reply.waiting_ = static_cast<std::uint32_t>(step.state_.waiting_.runs_.size());
+  reply.waiting_ =
+      static_cast<std::uint32_t>(step.state_.waiting_.runs_.size());
   reply.calls_failed_ =
-      run.calls_failed_ ||
-      (run.started_at_ != Timestamp{} &&
-       step.state_.call_failed_at_ >= run.started_at_);
+      run.calls_failed_ || (run.started_at_ != Timestamp{} &&
+                            step.state_.call_failed_at_ >= run.started_at_);
   if (run.connection_id_ == 0) {
     step.state_.own_replies_.push_back(std::move(reply));
   } else {
@@ -127,20 +127,18 @@
 // Latest time at which a start is still of use.
 Timestamp StartBy(const RelayStep& step, const RunOrder& order) {
   if (order.is_call_) return step.now_ + order.remaining_ * 3 / 4;
-  const Duration wait =
-      std::max(kLeastWait, order.objective_left_ / kWaitPart);
+  const Duration wait = std::max(kLeastWait, order.objective_left_ / kWaitPart);
   return step.now_ + std::min(wait, order.remaining_ / 2);
 }
 
 void CountCrash(RelayStep& step, const OpenRun& run) {
   const std::uint32_t crashes = ++step.state_.crashes_[run.order_.content_];
-  step.effects_.emplace_back(
-      Decision{.kind_ = DecisionKind::kRunBroken,
-               .trace_id_ = {},
-               .inputs_ = {{"route", run.order_.route_},
-                           {"content", static_cast<std::int64_t>(
-                                           run.order_.content_)},
-                           {"breaks", std::int64_t{crashes}}}});
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kRunBroken,
+      .trace_id_ = {},
+      .inputs_ = {{"route", run.order_.route_},
+                  {"content", static_cast<std::int64_t>(run.order_.content_)},
+                  {"breaks", std::int64_t{crashes}}}});
 }
 
 }  // namespace
@@ -151,8 +149,7 @@
   Duration nearest = tolerance;
   const auto& runs = step.state_.run_of_deadline_;
   for (auto it = runs.lower_bound(deadline - tolerance);
-       it != runs.end() && it->first <= deadline + tolerance;
-       ++it) {
+       it != runs.end() && it->first <= deadline + tolerance; ++it) {
     const Duration distance = std::chrono::abs(it->first - deadline);
     if (distance > nearest) continue;
     nearest = distance;
@@ -161,8 +158,7 @@
   return parent;
 }
 
-void OnRunOrder(RelayStep& step, std::uint64_t connection_id,
-                RunOrder& order) {
+void OnRunOrder(RelayStep& step, std::uint64_t connection_id, RunOrder& order) {
   const std::uint64_t run_id = NewId(step);
   OpenRun& run = step.state_.runs_[run_id];
   run.run_id_ = run_id;
@@ -229,8 +225,8 @@
   OpenRun& run = step.state_.runs_.at(found->second);
   if (!run.started_) {
     RemoveWaiting(step.state_.waiting_, run.run_id_);
-    Reply(step, run, {.outcome_ = RunOutcome::kNotRun,
-                      .reason_ = NotRunReason::kExpired});
+    Reply(step, run,
+          {.outcome_ = RunOutcome::kNotRun, .reason_ = NotRunReason::kExpired});
     return Erase(step, run);
   }
   // What may not be repeated is let finish: a half-done booking helps nobody.
@@ -265,14 +261,16 @@
     Reply(step, run, {.outcome_ = RunOutcome::kBroken});
   } else if (responded.not_run_) {
     ++step.state_.counters_.runs_refused_;
-    Reply(step, run, {.outcome_ = RunOutcome::kNotRun,
-                      .reason_ = NotRunReason::kRejected});
+    Reply(
+        step, run,
+        {.outcome_ = RunOutcome::kNotRun, .reason_ = NotRunReason::kRejected});
   } else {
     NoteRun(step, run);
     RemoveConnectionHeaders(responded.response_.headers_);
-    Reply(step, run, {.outcome_ = RunOutcome::kAnswered,
-                      .hold_ = hold,
-                      .response_ = std::move(responded.response_)});
+    Reply(step, run,
+          {.outcome_ = RunOutcome::kAnswered,
+           .hold_ = hold,
+           .response_ = std::move(responded.response_)});
   }
   Erase(step, run);
   StartWaiting(step);
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -20,10 +20,9 @@
 
 bool IsBusy(const RelayState& state) {
   if (state.running_ > 0 || !state.waiting_.runs_.empty()) return true;
-  return std::any_of(state.demands_.begin(), state.demands_.end(),
-                     [](const auto& entry) {
-                       return entry.second.per_second_ > 0.1;
-                     });
+  return std::any_of(
+      state.demands_.begin(), state.demands_.end(),
+      [](const auto& entry) { return entry.second.per_second_ > 0.1; });
 }
 
 void LogPeer(RelayStep& step, const Peer& peer, std::string_view change) {
@@ -48,9 +47,9 @@
                  step.options_.max_reconnect_interval_);
   const double unit = NextUnit(step.state_.random_);
   peer.reconnect_at_ =
-      step.now_ + Duration(static_cast<std::int64_t>(
-                      static_cast<double>(peer.reconnect_wait_.count()) *
-                      (0.5 + unit)));
+      step.now_ +
+      Duration(static_cast<std::int64_t>(
+          static_cast<double>(peer.reconnect_wait_.count()) * (0.5 + unit)));
 }
 
 // Costs and demand are planned within a region, so that hosts of others are
@@ -65,8 +64,8 @@
   peer.status_sent_at_ = step.now_;
   ++step.state_.counters_.statuses_sent_;
   if (peer.known_ && peer.status_.region_ != step.options_.region_) {
-    step.effects_.emplace_back(SendToPeer{
-        .peer_ = peer.address_, .message_ = ForOtherRegion(status)});
+    step.effects_.emplace_back(
+        SendToPeer{.peer_ = peer.address_, .message_ = ForOtherRegion(status)});
     return;
   }
   step.effects_.emplace_back(
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -69,7 +69,8 @@
           {"routes", static_cast<std::int64_t>(read.table_.routes_.size())}}});
   state.table_ = std::move(read.table_);
   state.table_text_ = std::move(read.text_);
-  step.effects_.emplace_back(ApplyClientLimits{.limits_ = state.table_.limits_});
+  step.effects_.emplace_back(
+      ApplyClientLimits{.limits_ = state.table_.limits_});
   UpdateReady(step);
   BroadcastStatus(step);
 }
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -15,18 +15,18 @@
 
 // State of a host's backend server, as its own node knows it.
 enum class BackendState : std::uint8_t {
-  kUnknown,      // not heard of yet, or silent
+  kUnknown,  // not heard of yet, or silent
   kReady,
-  kDraining,     // finishes what it has, takes nothing new
+  kDraining,  // finishes what it has, takes nothing new
   kGone,
   kUnreachable,  // refuses connections
 };
 
 // What a node tells its peers about itself and its backend server.
 struct HostStatus {
-  std::string address_;  // of the peer link
-  std::uint64_t boot_ = 0;      // tells processes at one address apart
-  std::uint64_t sequence_ = 0;  // order of the statuses of one process
+  std::string address_;                  // of the peer link
+  std::uint64_t boot_ = 0;               // tells processes at one address apart
+  std::uint64_t sequence_ = 0;           // order of the statuses of one process
   Duration sent_at_ = Duration::zero();  // sender's time since its boot
   std::string zone_;
   std::string region_;
@@ -37,10 +37,10 @@
   std::uint32_t slots_ = 0;
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;
-  std::uint64_t table_version_ = 0;  // of the routing document
-  std::vector<RouteProfile> profiles_;  // of the routes run here
-  std::vector<RouteDemand> demands_;    // that arrive on this host
-  std::vector<std::string> peers_;      // known addresses, on first contact
+  std::uint64_t table_version_ = 0;      // of the routing document
+  std::vector<RouteProfile> profiles_;   // of the routes run here
+  std::vector<RouteDemand> demands_;     // that arrive on this host
+  std::vector<std::string> peers_;       // known addresses, on first contact
   std::vector<std::uint64_t> suspects_;  // contents whose runs crashed servers
 };
 
@@ -48,7 +48,7 @@
 struct RunOrder {
   std::uint64_t send_id_ = 0;
   Duration sent_at_ = Duration::zero();  // sender's time since its boot
-  std::string instance_;  // only this backend server may run it
+  std::string instance_;                 // only this backend server may run it
   std::string route_;
   std::string caller_service_;
   std::uint32_t priority_ = 0;
@@ -63,10 +63,10 @@
 
 // What became of a run order.
 enum class RunOutcome : std::uint8_t {
-  kAnswered,   // the backend server's whole response
-  kNotRun,     // no byte went to the backend server, or it said so itself
-  kBroken,     // it may have run; there is no usable response
-  kTimedOut,   // it may have run; its time is up
+  kAnswered,  // the backend server's whole response
+  kNotRun,    // no byte went to the backend server, or it said so itself
+  kBroken,    // it may have run; there is no usable response
+  kTimedOut,  // it may have run; its time is up
 };
 
 // Why a run order was not run.
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -99,7 +99,12 @@
 
 struct NodeAnnounced {};
 
-enum class StoreCall : std::uint8_t { kReadTable, kAwaitTable, kAnnounce, kReadNodes };
+enum class StoreCall : std::uint8_t {
+  kReadTable,
+  kAwaitTable,
+  kAnnounce,
+  kReadNodes
+};
 
 // A call to the store failed.
 struct StoreFailed {
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -28,8 +28,8 @@
   std::string address_;  // of the peer link, IP:port
   std::string zone_;
   std::string region_;
-  std::string service_;          // of the host's backend server
-  std::string backend_address_;  // of the host's backend server
+  std::string service_;             // of the host's backend server
+  std::string backend_address_;     // of the host's backend server
   std::vector<std::string> seeds_;  // peer links to try first
   std::uint64_t boot_ = 0;
   std::uint64_t seed_ = 0;
@@ -171,7 +171,7 @@
 // Demand of clients for one route on this host.
 struct DemandMeter {
   double per_second_ = 0.0;
-  std::uint32_t counted_ = 0;  // in the window under way
+  std::uint32_t counted_ = 0;                   // in the window under way
   Duration usual_deadline_ = Duration::zero();  // longest seen lately
 };
 
@@ -253,14 +253,14 @@
   // Region's measured costs of runs, by route.
   std::map<std::string, RouteProfile> profiles_;
   std::map<std::string, ServicePressure> pressure_;  // by service
-  std::map<std::string, double> admitted_;  // by route; absent: all
+  std::map<std::string, double> admitted_;           // by route; absent: all
   Timestamp demand_window_start_;
   CallWindow call_window_;  // under way
   CallFit call_fit_;
   // Calls of one run of the own backend server, by route of the run.
   std::map<std::string, std::map<std::string, double>> calls_of_run_;
   std::set<std::string> called_routes_;  // that only backend servers call
-  Timestamp call_failed_at_;  // a call of an unknown run of this host
+  Timestamp call_failed_at_;           // a call of an unknown run of this host
   std::set<std::uint64_t> condemned_;  // contents that crash backend servers
   std::map<std::uint64_t, std::uint32_t> crashes_;  // by content
   StoreState store_;
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -202,8 +202,8 @@
   RunReply reply;
   reply.send_id_ = reader.getSendId();
   // An outcome that is not known here leaves open whether the request ran.
-  reply.outcome_ = ToEnum(reader.getOutcome(), RunOutcome::kTimedOut,
-                          RunOutcome::kBroken);
+  reply.outcome_ =
+      ToEnum(reader.getOutcome(), RunOutcome::kTimedOut, RunOutcome::kBroken);
   reply.reason_ = ToEnum(reader.getReason(), NotRunReason::kCrashSuspect,
                          NotRunReason::kNone);
   reply.running_ = reader.getRunning();
--- a/src/relaylink/peer_links.cc
+++ b/src/relaylink/peer_links.cc
@@ -65,12 +65,11 @@
     return;
   }
   outbound_[peer] = socket;
-  socket->SetHandlers({.on_connected_ =
-                           [this, peer] { handlers_.on_connected_(peer); },
-                       .on_data_ = [this, peer] { OnOutboundData(peer); },
-                       .on_flushed_ = {},
-                       .on_end_ = [this, peer](
-                                      ConnectionEnd) { OnOutboundEnd(peer); }});
+  socket->SetHandlers(
+      {.on_connected_ = [this, peer] { handlers_.on_connected_(peer); },
+       .on_data_ = [this, peer] { OnOutboundData(peer); },
+       .on_flushed_ = {},
+       .on_end_ = [this, peer](ConnectionEnd) { OnOutboundEnd(peer); }});
 }
 
 void PeerLinks::Disconnect(const std::string& peer) {
--- a/src/retries/retry_allowance.cc
+++ b/src/retries/retry_allowance.cc
@@ -6,8 +6,8 @@
 
 RetryAllowance ShareAllowance(double fleet_ratio, double fleet_slack,
                               std::size_t nodes, double safety) {
-  const double share =
-      fleet_slack * safety / static_cast<double>(std::max<std::size_t>(1, nodes));
+  const double share = fleet_slack * safety /
+                       static_cast<double>(std::max<std::size_t>(1, nodes));
   // With less than one whole retry nothing could ever be spent.
   return {.ratio_ = fleet_ratio * safety, .burst_ = std::max(1.0, share)};
 }
--- a/src/routes/routes.cc
+++ b/src/routes/routes.cc
@@ -23,11 +23,11 @@
     table.by_host_[NormalHost(table.routes_[i].host_)].push_back(i);
   }
   for (auto& [host, indexes] : table.by_host_) {
-    std::stable_sort(
-        indexes.begin(), indexes.end(), [&](std::size_t a, std::size_t b) {
-          return table.routes_[a].path_prefix_.size() >
-                 table.routes_[b].path_prefix_.size();
-        });
+    std::stable_sort(indexes.begin(), indexes.end(),
+                     [&](std::size_t a, std::size_t b) {
+                       return table.routes_[a].path_prefix_.size() >
+                              table.routes_[b].path_prefix_.size();
+                     });
   }
 }
 
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -18,15 +18,12 @@
 
 void RelayMetrics::Observe(const AnswerRequest& answer) {
   const bool known = routes_.contains(answer.route_);
-  const std::string& name = known || routes_.size() < kMaxMeasuredRoutes
-                                ? answer.route_
-                                : "other";
+  const std::string& name =
+      known || routes_.size() < kMaxMeasuredRoutes ? answer.route_ : "other";
   Series& series = routes_[name];
   const double seconds = InSeconds(answer.elapsed_);
-  const auto bucket =
-      std::lower_bound(kBounds.begin(), kBounds.end(), seconds);
-  ++series.buckets_.at(
-      static_cast<std::size_t>(bucket - kBounds.begin()));
+  const auto bucket = std::lower_bound(kBounds.begin(), kBounds.end(), seconds);
+  ++series.buckets_.at(static_cast<std::size_t>(bucket - kBounds.begin()));
   series.sum_ += seconds;
   ++series.by_status_[answer.response_.status_];
 }
@@ -81,8 +78,8 @@
   Gauge(text, "table_version", static_cast<double>(state.table_.version_));
   Gauge(text, "ready", state.ready_ ? 1 : 0);
   for (const auto& [route, fraction] : state.admitted_) {
-    text << "jujubefront_relay_admitted{route=\"" << route << "\"} "
-         << fraction << '\n';
+    text << "jujubefront_relay_admitted{route=\"" << route << "\"} " << fraction
+         << '\n';
   }
   return text.str();
 }
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -71,9 +71,7 @@
     shell_.log_.WriteStop(static_cast<std::int64_t>(effect.cut_off_));
     shell_.on_exit_(effect.cut_off_ == 0 ? 0 : kCutOffExitCode);
   }
-  void operator()(Decision& effect) const {
-    shell_.log_.Write(Now(), effect);
-  }
+  void operator()(Decision& effect) const { shell_.log_.Write(Now(), effect); }
 };
 
 RelayShell::RelayShell(RelayShellOptions options, Dialect dialect,
@@ -166,26 +164,24 @@
 }
 
 PeerLinks::Handlers RelayShell::LinkHandlers() {
-  return {.on_inbound_ =
-              [this](std::uint64_t id, LinkMessage message) {
-                Feed(LinkReceived{.connection_id_ = id,
-                                  .message_ = std::move(message)});
-              },
-          .on_inbound_end_ =
-              [this](std::uint64_t id) { Feed(LinkEnded{id}); },
-          .on_outbound_ =
-              [this](const std::string& peer, LinkMessage message) {
-                if (const auto* text = std::get_if<TableText>(&message)) {
-                  return FeedTable(*text);
-                }
-                Feed(LinkReceived{.peer_ = peer,
-                                  .message_ = std::move(message)});
-              },
-          .on_connected_ =
-              [this](const std::string& peer) { Feed(PeerConnected{peer}); },
-          .on_disconnected_ = [this](const std::string& peer) {
-            Feed(PeerDisconnected{peer});
-          }};
+  return {
+      .on_inbound_ =
+          [this](std::uint64_t id, LinkMessage message) {
+            Feed(LinkReceived{.connection_id_ = id,
+                              .message_ = std::move(message)});
+          },
+      .on_inbound_end_ = [this](std::uint64_t id) { Feed(LinkEnded{id}); },
+      .on_outbound_ =
+          [this](const std::string& peer, LinkMessage message) {
+            if (const auto* text = std::get_if<TableText>(&message)) {
+              return FeedTable(*text);
+            }
+            Feed(LinkReceived{.peer_ = peer, .message_ = std::move(message)});
+          },
+      .on_connected_ =
+          [this](const std::string& peer) { Feed(PeerConnected{peer}); },
+      .on_disconnected_ =
+          [this](const std::string& peer) { Feed(PeerDisconnected{peer}); }};
 }
 
 void RelayShell::FeedTable(const TableText& text) {
--- a/src/waiting/waiting.h
+++ b/src/waiting/waiting.h
@@ -15,7 +15,7 @@
 // A run that waits for a slot of the backend server.
 struct WaitingRun {
   std::uint64_t run_id_ = 0;
-  bool is_call_ = false;  // made by a run at another backend server
+  bool is_call_ = false;        // made by a run at another backend server
   std::uint32_t priority_ = 0;  // 0 is the most important
   Timestamp arrived_;
   Timestamp start_by_;  // a start after this time is of no use
--- a/standins/platform/relay_load.cc
+++ b/standins/platform/relay_load.cc
@@ -48,9 +48,10 @@
   client = std::make_unique<Http1Client>(
       Http1ClientOptions{},
       Http1Client::Handlers{
-          .on_response_ = [&](std::uint64_t id, const Http1Response& response) {
-            finish(id, response.status_ == 200);
-          },
+          .on_response_ =
+              [&](std::uint64_t id, const Http1Response& response) {
+                finish(id, response.status_ == 200);
+              },
           .on_failure_ = [&](std::uint64_t id,
                              Http1Failure) { finish(id, false); }});
   client->SetAddress(address);
@@ -79,18 +80,18 @@
 }
 
 void Print(const char* name, const LoadResult& result) {
-  std::printf("%-8s p50 %.0f us, p99 %.0f us, %.0f a second, %zu failures\n",
-              name, Quantile(result, 0.5), Quantile(result, 0.99),
-              static_cast<double>(result.latencies_us_.size()) /
-                  result.seconds_,
-              result.failures_);
+  std::printf(
+      "%-8s p50 %.0f us, p99 %.0f us, %.0f a second, %zu failures\n", name,
+      Quantile(result, 0.5), Quantile(result, 0.99),
+      static_cast<double>(result.latencies_us_.size()) / result.seconds_,
+      result.failures_);
 }
 
 int Run(const cxxopts::ParseResult& arguments, int argc, char** argv) {
   QCoreApplication::setEventDispatcher(new EpollDispatcher);
   QCoreApplication application(argc, argv);
-  SidecarHosts deployment({.program_ = arguments["program"].as<std::string>(),
-                           .slots_ = 64});
+  SidecarHosts deployment(
+      {.program_ = arguments["program"].as<std::string>(), .slots_ = 64});
   deployment.store().PutDocument(SampleDocument(1, "jobs"));
   if (!deployment.Start()) {
     std::cerr << "the relays did not become ready\n";
@@ -107,16 +108,16 @@
   RunLoad(hosts[0].clients(), connections, requests / 10 + 1);
   const LoadResult direct = RunLoad(hosts[1].app(), connections, requests);
   const double before = ProcessorSeconds(hosts[0]) + ProcessorSeconds(hosts[1]);
-  const LoadResult relayed =
-      RunLoad(hosts[0].clients(), connections, requests);
+  const LoadResult relayed = RunLoad(hosts[0].clients(), connections, requests);
   const double spent =
       ProcessorSeconds(hosts[0]) + ProcessorSeconds(hosts[1]) - before;
   Print("direct", direct);
   Print("relayed", relayed);
-  std::printf("added at p99: %.0f us; processor time over both relays: "
-              "%.1f us a request\n",
-              Quantile(relayed, 0.99) - Quantile(direct, 0.99),
-              spent * 1e6 / static_cast<double>(requests));
+  std::printf(
+      "added at p99: %.0f us; processor time over both relays: "
+      "%.1f us a request\n",
+      Quantile(relayed, 0.99) - Quantile(direct, 0.99),
+      spent * 1e6 / static_cast<double>(requests));
   return relayed.failures_ == 0 ? 0 : 1;
 }
 
