Store: waits get longer with the number of nodes, and end staggered

Peers pass a document on within a second, so that some node's wait has to end soon, not every node's. Not measured yet.

--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -9,7 +9,8 @@
 // A host without load tells so less often.
 constexpr int kIdleStatusFactor = 4;
 // Time in which the own reader of the store should have brought a document
-// that a peer already has.
+// that a peer already has; twice and three times as long for peers of other
+// zones and regions, so that it crosses a link once.
 constexpr Duration kTableGrace = std::chrono::milliseconds(300);
 constexpr Duration kTableAskInterval = std::chrono::milliseconds(700);
 
@@ -99,7 +100,9 @@
 
 void AskForTable(RelayStep& step, Peer& peer) {
   if (peer.status_.table_version_ <= step.state_.table_.version_) return;
-  if (step.now_ - peer.status_at_ < kTableGrace) return;
+  const int distance =
+      1 + static_cast<int>(DistanceTo(step.options_, peer.status_));
+  if (step.now_ - peer.status_at_ < kTableGrace * distance) return;
   for (const auto& [address, other] : step.state_.peers_) {
     if (step.now_ - other.table_asked_at_ < kTableAskInterval) return;
   }
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -42,10 +42,20 @@
       static_cast<std::uint64_t>(call));
 }
 
+// The more nodes wait, the longer each may: a wait that the store has lost in
+// an outage ends at some node within a short time, and peers pass the news on.
+Duration PollWait(const RelayStep& step) {
+  const RelayOptions& options = step.options_;
+  const auto nodes = static_cast<std::int64_t>(step.state_.peers_.size());
+  return std::clamp(options.poll_stagger_ * nodes, options.least_poll_wait_,
+                    options.max_poll_wait_);
+}
+
 void Await(RelayStep& step) {
   ++step.state_.counters_.store_calls_;
   step.effects_.emplace_back(
-      AwaitTable{.from_ = step.state_.store_.next_offset_.value_or(0)});
+      AwaitTable{.from_ = step.state_.store_.next_offset_.value_or(0),
+                 .wait_ = PollWait(step)});
 }
 
 }  // namespace
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -63,9 +63,10 @@
 // Reads the newest routing document.
 struct ReadTable {};
 
-// Waits for a document after this offset.
+// Waits for a document after this offset, for so long at most.
 struct AwaitTable {
   std::uint64_t from_ = 0;
+  Duration wait_ = Duration::zero();
 };
 
 // Lists this node in the store.
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -61,6 +61,11 @@
   Duration forget_after_ = std::chrono::minutes(2);
   Duration store_retry_interval_ = std::chrono::milliseconds(400);
   Duration max_store_retry_interval_ = std::chrono::seconds(2);
+  // Time between two nodes whose waits at the store end, and bounds on one
+  // node's wait.
+  Duration poll_stagger_ = std::chrono::milliseconds(300);
+  Duration least_poll_wait_ = std::chrono::seconds(4);
+  Duration max_poll_wait_ = std::chrono::seconds(12);
   // Stop: shortest time in which clients still arrive, and longest in all.
   Duration stop_linger_ = std::chrono::milliseconds(3200);
   Duration stop_limit_ = std::chrono::milliseconds(5500);
--- a/src/relay/tests/relay_tests.cc
+++ b/src/relay/tests/relay_tests.cc
@@ -114,8 +114,8 @@
     }
   }
 
-  // Clients may stay where most nodes of their zone stop at once. What could not
-  // be answered before the process ends is refused, not taken and cut off.
+  // Clients may stay where most nodes of their zone stop at once. What could
+  // not be answered before the process ends is refused, not taken and cut off.
   void TakesNothingNewNearTheEndOfAStop() {
     struct Row {
       Duration after_;
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -58,7 +58,7 @@
   }
   void operator()(ReadTable&) const { shell_.store_.read_table_(); }
   void operator()(AwaitTable& effect) const {
-    shell_.store_.await_table_(effect.from_);
+    shell_.store_.await_table_(effect.from_, effect.wait_);
   }
   void operator()(AnnounceNode&) const { shell_.store_.announce_(); }
   void operator()(ReadNodes&) const { shell_.store_.read_nodes_(); }
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -54,7 +54,7 @@
 // Calls to the store. Each leads to one event or more.
 struct StorePort {
   std::function<void()> read_table_;
-  std::function<void(std::uint64_t from)> await_table_;
+  std::function<void(std::uint64_t from, Duration wait)> await_table_;
   std::function<void()> announce_;
   std::function<void()> read_nodes_;
 };
