--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -36,7 +36,8 @@
                  Scaled(need.latency_objective_, options.zone_price_share_));
   }
   if (place.distance_ == Distance::kOtherRegion) {
-    finish += options.region_price_;
+    finish +=
+        need.is_call_ ? options.region_call_price_ : options.region_price_;
   }
   return finish + Scaled(need.latency_objective_, place.failure_share_);
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -30,6 +30,8 @@
   Duration least_zone_price_ = std::chrono::milliseconds(25);
   double zone_price_share_ = 0.15;
   Duration region_price_ = std::chrono::milliseconds(2000);
+  // The same for calls, whose failure would waste their callers' work.
+  Duration region_call_price_ = std::chrono::milliseconds(200);
   // Part of the slots that must be free in another region: where both regions
   // are full, a crossing gains nothing.
   double far_free_share_ = 0.3;
@@ -40,6 +42,7 @@
 // What the request needs.
 struct PlacementNeed {
   Duration latency_objective_ = std::chrono::seconds(1);
+  bool is_call_ = false;  // made by a backend server
 };
 
 // Time until a request placed here is expected to be answered, with the price
--- a/src/placement/tests/placement_tests.cc
+++ b/src/placement/tests/placement_tests.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(SpreadsOverEquals);
   CPPUNIT_TEST(FindsNothingAmongNone);
   CPPUNIT_TEST(CrossesToAnotherRegionOnlyWhereThereIsRoom);
+  CPPUNIT_TEST(CallsCrossSoonerThanRoots);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -79,6 +80,30 @@
     }
   }
 
+  // Load pattern: one region has lost half of a narrow service that every root
+  // calls several times, the other has room.
+  void CallsCrossSoonerThanRoots() {
+    struct Row {
+      bool is_call_;
+      double own_load_;
+      std::size_t expected_;
+    };
+    // 300 more runs than slots wait for three seconds, 40 more for 400 ms.
+    const Row rows[] = {{true, 10, 0},
+                        {true, 50, 1},
+                        {false, 10, 0},
+                        {false, 50, 0},
+                        {false, 310, 1}};
+    for (const Row& row : rows) {
+      const Place own{.slots_ = 10, .load_ = row.own_load_, .hold_ = kHold};
+      const Place far{
+          .distance_ = Distance::kOtherRegion, .slots_ = 10, .hold_ = kHold};
+      CPPUNIT_ASSERT_EQUAL(
+          row.expected_,
+          *ChoosePlace({own, far}, {}, {.is_call_ = row.is_call_}, 0.0));
+    }
+  }
+
   void FindsNothingAmongNone() {
     CPPUNIT_ASSERT(!ChoosePlace({}, {}, {}, 0.5));
   }
--- a/src/relay/internal/demand.cc
+++ b/src/relay/internal/demand.cc
@@ -161,6 +161,9 @@
         static_cast<double>(meter.usual_deadline_.count()) * kDeadlineDecay));
   }
   CloseCallWindow(step);
+  state.refused_slots_ = state.refused_in_window_ * InSeconds(MeanHold(state)) /
+                         InSeconds(elapsed);
+  state.refused_in_window_ = 0;
   state.retry_allowance_ =
       ShareAllowance(step.options_.retry_ratio_, step.options_.retry_slack_,
                      state.peers_.size(), step.options_.retry_safety_);
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -72,7 +72,7 @@
 }
 
 void LogOutcome(RelayStep& step, DecisionKind kind, const OpenRequest& request,
-                int status, std::string_view why) {
+                int status, std::string_view why, std::size_t bytes = 0) {
   step.effects_.emplace_back(Decision{
       .kind_ = kind,
       .trace_id_ = request.trace_id_,
@@ -80,6 +80,7 @@
           {"route", request.route_},
           {"status", std::int64_t{status}},
           {"why", std::string(why)},
+          {"bytes", static_cast<std::int64_t>(bytes)},
           {"sends", std::int64_t{request.tries_}},
           {"elapsed_us", (step.now_ - request.arrived_).count()},
           {"left_us", (request.deadline_ - step.now_).count()},
@@ -255,9 +256,10 @@
     return Refuse(step, request, "time is up");
   }
   const std::vector<Place> places = PlacesFor(step, request);
-  const auto chosen = ChoosePlace(places, step.options_.placement_,
-                                  {.latency_objective_ = request.objective_},
-                                  NextUnit(step.state_.random_));
+  const auto chosen = ChoosePlace(
+      places, step.options_.placement_,
+      {.latency_objective_ = request.objective_, .is_call_ = request.is_call_},
+      NextUnit(step.state_.random_));
   if (!chosen) return GiveUp(step, request, otherwise);
   SendTo(step, request, step.state_.peers_.at(places[*chosen].host_));
 }
@@ -358,7 +360,7 @@
                                    : "answer of the backend server");
   } else {
     LogOutcome(step, DecisionKind::kAnswered, request, reply.response_.status_,
-               "answer of the backend server");
+               "answer of the backend server", reply.response_.body_.size());
   }
   Finish(step, request, std::move(reply.response_), false);
 }
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -16,6 +16,8 @@
 // Hold time assumed while nothing was measured.
 constexpr Duration kUnknownHold = std::chrono::milliseconds(50);
 
+}  // namespace
+
 Duration MeanHold(const RelayState& state) {
   double runs = 0.0;
   double seconds = 0.0;
@@ -27,6 +29,8 @@
   return Duration(static_cast<std::int64_t>(seconds / runs * 1e6));
 }
 
+namespace {
+
 SlotUse UseOf(const RelayState& state) {
   return {.slots_ = state.backend_.slots_,
           .running_ = state.running_,
@@ -176,6 +180,7 @@
                            .arrived_ = step.now_,
                            .start_by_ = StartBy(step, run.order_)};
   if (!Enqueue(step.state_.waiting_, UseOf(step.state_), step.now_, waiting)) {
+    ++step.state_.refused_in_window_;
     return ReplyNotRun(step, run, NotRunReason::kOverloaded);
   }
   StartWaiting(step);
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -180,24 +180,26 @@
 
 HostStatus MakeStatus(RelayStep& step, bool with_peers) {
   RelayState& state = step.state_;
-  HostStatus status{
-      .address_ = step.options_.address_,
-      .boot_ = step.options_.boot_,
-      .sequence_ = ++state.status_sequence_,
-      .sent_at_ = step.now_.time_since_epoch(),
-      .zone_ = step.options_.zone_,
-      .region_ = step.options_.region_,
-      .leaving_ = state.stopping_,
-      .service_ = state.backend_.service_.empty() ? step.options_.service_
-                                                  : state.backend_.service_,
-      .instance_ = state.backend_.instance_,
-      .backend_ = state.backend_.state_,
-      .slots_ = state.backend_.slots_,
-      .running_ = state.running_,
-      .waiting_ = static_cast<std::uint32_t>(state.waiting_.runs_.size()),
-      .table_version_ = state.table_.version_,
-      .profiles_ = OwnProfiles(state),
-      .demands_ = OwnDemands(state)};
+  HostStatus status{.address_ = step.options_.address_,
+                    .boot_ = step.options_.boot_,
+                    .sequence_ = ++state.status_sequence_,
+                    .sent_at_ = step.now_.time_since_epoch(),
+                    .zone_ = step.options_.zone_,
+                    .region_ = step.options_.region_,
+                    .leaving_ = state.stopping_,
+                    .service_ = state.backend_.service_.empty()
+                                    ? step.options_.service_
+                                    : state.backend_.service_,
+                    .instance_ = state.backend_.instance_,
+                    .backend_ = state.backend_.state_,
+                    .slots_ = state.backend_.slots_,
+                    .running_ = state.running_,
+                    .waiting_ = static_cast<std::uint32_t>(
+                        static_cast<double>(state.waiting_.runs_.size()) +
+                        state.refused_slots_),
+                    .table_version_ = state.table_.version_,
+                    .profiles_ = OwnProfiles(state),
+                    .demands_ = OwnDemands(state)};
   if (with_peers) {
     for (const auto& [address, peer] : state.peers_) {
       if (peer.known_) status.peers_.push_back(address);
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -42,6 +42,8 @@
 void OnBackendBroke(RelayStep& step, const BackendBroke& broke);
 void OnRunDeadline(RelayStep& step, std::uint64_t run_id);
 void SweepWaiting(RelayStep& step);
+// Mean time for which runs of the own backend server hold their slots.
+Duration MeanHold(const RelayState& state);
 void StartWaiting(RelayStep& step);
 // Refuses everything that waits for a slot.
 void RefuseWaiting(RelayStep& step, NotRunReason reason);
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -36,8 +36,8 @@
   BackendState backend_ = BackendState::kUnknown;
   std::uint32_t slots_ = 0;
   std::uint32_t running_ = 0;
-  std::uint32_t waiting_ = 0;
-  std::uint64_t table_version_ = 0;      // of the routing document
+  std::uint32_t waiting_ = 0;        // with what was refused lately, in slots
+  std::uint64_t table_version_ = 0;  // of the routing document
   std::vector<RouteProfile> profiles_;   // of the routes run here
   std::vector<RouteDemand> demands_;     // that arrive on this host
   std::vector<std::string> peers_;       // known addresses, on first contact
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -250,6 +250,10 @@
   std::uint32_t running_ = 0;
   OwnBackend backend_;
   std::map<std::string, RunStats> run_stats_;
+  // Runs refused for want of a slot: in the window under way, and the slots
+  // that those of the last window would have held.
+  std::uint32_t refused_in_window_ = 0;
+  double refused_slots_ = 0.0;
   std::map<std::string, Peer> peers_;
   std::unordered_map<std::uint64_t, InboundLink> inbound_links_;
   std::map<std::string, RetryBudget> retry_budgets_;  // by service
