--- a/src/relaylink/peer_links.cc
+++ b/src/relaylink/peer_links.cc
@@ -99,8 +99,7 @@
   const auto found = outbound_.find(peer);
   if (found == outbound_.end()) return;
   if (found->second->unsent_bytes() > kMaxUnsentBytes) {
-    const std::string lost = peer;
-    QTimer::singleShot(0, this, [this, lost] { OnOutboundEnd(lost); });
+    QTimer::singleShot(0, this, [this, peer] { OnOutboundEnd(peer); });
     return;
   }
   found->second->Write(EncodeLinkMessage(message));
--- a/standins/platform/sidecar_hosts.cc
+++ b/standins/platform/sidecar_hosts.cc
@@ -21,8 +21,8 @@
   const auto pid = static_cast<unsigned>(QCoreApplication::applicationPid());
   for (unsigned i = 0; i < 1000; ++i) {
     const unsigned id = (pid * 13 + i) % 20'000;
-    const std::string network = "127." + std::to_string(100 + id / 250) + "." +
-                                std::to_string(id % 250) + ".";
+    std::string network = "127." + std::to_string(100 + id / 250) + "." +
+                          std::to_string(id % 250) + ".";
     QTcpServer probe;
     if (probe.listen(QHostAddress(QString::fromStdString(network + "1")),
                      kStorePort)) {
