--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -198,6 +198,7 @@
 RunOrder MakeOrder(RelayStep& step, const OpenRequest& request,
                    const Peer& peer) {
   return {.send_id_ = request.send_id_,
+          .trace_id_ = request.trace_id_,
           .sent_at_ = step.now_.time_since_epoch(),
           .instance_ = peer.status_.instance_,
           .route_ = request.route_,
@@ -207,7 +208,6 @@
           .idempotent_ = request.idempotent_,
           .remaining_ = request.deadline_ - step.now_,
           .objective_left_ = request.objective_at_ - step.now_,
-          .content_ = request.content_,
           .request_ = request.request_};
 }
 
@@ -328,8 +328,6 @@
       return "rejected by the backend server";
     case NotRunReason::kStopping:
       return "node is stopping";
-    case NotRunReason::kCrashSuspect:
-      return "content crashed backend servers";
   }
   return "not run";
 }
@@ -339,9 +337,6 @@
   if (reason != NotRunReason::kRejected && request.sends_ > 0) {
     --request.sends_;
   }
-  if (reason == NotRunReason::kCrashSuspect) {
-    return GiveUp(step, request, ReasonText(reason));
-  }
   TryElsewhere(step, request, ReasonText(reason));
 }
 
@@ -365,12 +360,6 @@
   Finish(step, request, std::move(reply.response_), false);
 }
 
-std::uint64_t ContentOf(const RequestArrived& arrived,
-                        const std::string& caller) {
-  return HashBytes(arrived.request_.body_,
-                   HashBytes(arrived.request_.target_, HashBytes(caller)));
-}
-
 OpenRequest MakeRequest(RelayStep& step, RequestArrived& arrived,
                         const RouteRule& route) {
   const Duration remaining = arrived.remaining_.value_or(route.timeout_);
@@ -384,7 +373,6 @@
   request.arrived_ = step.now_;
   request.deadline_ = step.now_ + std::min(remaining, route.timeout_);
   request.objective_ = route.latency_objective_;
-  request.content_ = ContentOf(arrived, step.options_.service_);
   const Origin origin = FindOrigin(step, route, step.now_ + remaining);
   request.parent_run_ = origin.parent_run_;
   request.is_call_ = origin.is_call_;
@@ -439,9 +427,6 @@
     request.priority_ =
         parent == step.state_.runs_.end() ? 0 : parent->second.order_.priority_;
   }
-  if (state.condemned_.contains(request.content_)) {
-    return Refuse(step, request, ReasonText(NotRunReason::kCrashSuspect));
-  }
   if (!request.is_call_ && IsClosing(step)) {
     return Refuse(step, request, ReasonText(NotRunReason::kStopping));
   }
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -113,9 +113,6 @@
 
 NotRunReason CheckOrder(const RelayStep& step, const RunOrder& order) {
   const RelayState& state = step.state_;
-  if (state.condemned_.contains(order.content_)) {
-    return NotRunReason::kCrashSuspect;
-  }
   if (state.backend_.state_ == BackendState::kDraining ||
       state.backend_.state_ == BackendState::kGone) {
     return NotRunReason::kDraining;
@@ -135,14 +132,16 @@
   return step.now_ + std::min(wait, order.remaining_ / 2);
 }
 
-void CountCrash(RelayStep& step, const OpenRun& run) {
-  const std::uint32_t crashes = ++step.state_.crashes_[run.order_.content_];
+void LogBroken(RelayStep& step, const OpenRun& run, BackendBreak kind) {
+  const bool lost = kind == BackendBreak::kBroken;
   step.effects_.emplace_back(Decision{
       .kind_ = DecisionKind::kRunBroken,
-      .trace_id_ = {},
+      .trace_id_ = run.order_.trace_id_,
       .inputs_ = {{"route", run.order_.route_},
-                  {"content", static_cast<std::int64_t>(run.order_.content_)},
-                  {"breaks", std::int64_t{crashes}}}});
+                  {"instance", run.order_.instance_},
+                  {"why", std::string(lost ? "connection was lost"
+                                           : "no response to this request")},
+                  {"ran_us", (step.now_ - run.started_at_).count()}}});
 }
 
 }  // namespace
@@ -292,7 +291,7 @@
     return StartWaiting(step);
   }
   ++step.state_.counters_.runs_broken_;
-  if (broke.break_ == BackendBreak::kBroken) CountCrash(step, run);
+  LogBroken(step, run, broke.break_);
   Reply(step, run, {.outcome_ = RunOutcome::kBroken});
   Erase(step, run);
   StartWaiting(step);
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -38,15 +38,15 @@
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;        // with what was refused lately, in slots
   std::uint64_t table_version_ = 0;  // of the routing document
-  std::vector<RouteProfile> profiles_;   // of the routes run here
-  std::vector<RouteDemand> demands_;     // that arrive on this host
-  std::vector<std::string> peers_;       // known addresses, on first contact
-  std::vector<std::uint64_t> suspects_;  // contents whose runs crashed servers
+  std::vector<RouteProfile> profiles_;  // of the routes run here
+  std::vector<RouteDemand> demands_;    // that arrive on this host
+  std::vector<std::string> peers_;      // known addresses, on first contact
 };
 
 // A request on its way from the entry to the host that shall run it.
 struct RunOrder {
   std::uint64_t send_id_ = 0;
+  std::string trace_id_;                 // the client's id of the attempt
   Duration sent_at_ = Duration::zero();  // sender's time since its boot
   std::string instance_;                 // only this backend server may run it
   std::string route_;
@@ -57,7 +57,6 @@
   Duration remaining_ = Duration::zero();
   // Time left in which an answer is of full use; may be negative.
   Duration objective_left_ = Duration::zero();
-  std::uint64_t content_ = 0;  // hash of path, caller and body
   Http1Request request_;
 };
 
@@ -79,7 +78,6 @@
   kUnreachable,
   kRejected,  // by the backend server itself
   kStopping,
-  kCrashSuspect,
 };
 
 struct RunReply {
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -98,10 +98,7 @@
   kAnswered,
   kRefused,
   kFailed,
-  kSent,
-  kRetried,
   kCancelled,
-  kRunRefused,
   kRunBroken,
   kBackendChanged,
   kPeerChanged,
@@ -109,7 +106,6 @@
   kStoreLost,
   kStoreBack,
   kAdmissionChanged,
-  kSuspected,
   kStopping,
   kReloaded,
 };
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -88,7 +88,6 @@
   Timestamp deadline_;      // the client's, or the route's timeout
   Timestamp objective_at_;  // until when an answer is of full use
   Duration objective_ = Duration::zero();
-  std::uint64_t content_ = 0;
   std::uint64_t parent_run_ = 0;  // run at the own backend server that calls
   Http1Request request_;
   std::uint64_t send_id_ = 0;  // present send
@@ -269,9 +268,7 @@
   // Calls of one run of the own backend server, by route of the run.
   std::map<std::string, std::map<std::string, double>> calls_of_run_;
   std::set<std::string> called_routes_;  // that only backend servers call
-  Timestamp call_failed_at_;           // a call of an unknown run of this host
-  std::set<std::uint64_t> condemned_;  // contents that crash backend servers
-  std::map<std::uint64_t, std::uint32_t> crashes_;  // by content
+  Timestamp call_failed_at_;  // a call of an unknown run of this host
   StoreState store_;
   std::uint64_t status_sequence_ = 0;
   bool ready_ = false;
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -58,8 +58,7 @@
   profiles @13 :List(Profile);
   demands @14 :List(Demand);
   peers @15 :List(Text);
-  suspects @16 :List(UInt64);
-  sentAtUs @17 :Int64;
+  sentAtUs @16 :Int64;
 }
 
 struct Order {
@@ -72,7 +71,7 @@
   idempotent @6 :Bool;
   remainingUs @7 :Int64;
   objectiveLeftUs @8 :Int64;
-  content @9 :UInt64;
+  traceId @9 :Text;
   method @10 :Text;
   target @11 :Text;
   headers @12 :List(Header);
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -96,10 +96,6 @@
   for (unsigned i = 0; i < status.peers_.size(); ++i) {
     peers.set(i, ToText(status.peers_[i]));
   }
-  auto suspects = builder.initSuspects(status.suspects_.size());
-  for (unsigned i = 0; i < status.suspects_.size(); ++i) {
-    suspects.set(i, status.suspects_[i]);
-  }
 }
 
 HostStatus Read(linkwire::Status::Reader reader) {
@@ -137,9 +133,6 @@
   for (const auto peer : reader.getPeers()) {
     status.peers_.push_back(ToString(peer));
   }
-  for (const auto suspect : reader.getSuspects()) {
-    status.suspects_.push_back(suspect);
-  }
   return status;
 }
 
@@ -155,7 +148,7 @@
   builder.setIdempotent(order.idempotent_);
   builder.setRemainingUs(order.remaining_.count());
   builder.setObjectiveLeftUs(order.objective_left_.count());
-  builder.setContent(order.content_);
+  builder.setTraceId(ToText(order.trace_id_));
   builder.setMethod(ToText(order.request_.method_));
   builder.setTarget(ToText(order.request_.target_));
   WriteHeaders(builder.initHeaders(order.request_.headers_.size()),
@@ -175,7 +168,7 @@
   order.idempotent_ = reader.getIdempotent();
   order.remaining_ = Duration(reader.getRemainingUs());
   order.objective_left_ = Duration(reader.getObjectiveLeftUs());
-  order.content_ = reader.getContent();
+  order.trace_id_ = ToString(reader.getTraceId());
   order.request_.method_ = ToString(reader.getMethod());
   order.request_.target_ = ToString(reader.getTarget());
   order.request_.headers_ = ReadHeaders(reader.getHeaders());
@@ -204,8 +197,8 @@
   // An outcome that is not known here leaves open whether the request ran.
   reply.outcome_ =
       ToEnum(reader.getOutcome(), RunOutcome::kTimedOut, RunOutcome::kBroken);
-  reply.reason_ = ToEnum(reader.getReason(), NotRunReason::kCrashSuspect,
-                         NotRunReason::kNone);
+  reply.reason_ =
+      ToEnum(reader.getReason(), NotRunReason::kStopping, NotRunReason::kNone);
   reply.running_ = reader.getRunning();
   reply.waiting_ = reader.getWaiting();
   reply.hold_ = Duration(reader.getHoldUs());
--- a/src/relaylink/peer_links.cc
+++ b/src/relaylink/peer_links.cc
@@ -109,6 +109,14 @@
                          const LinkMessage& message) {
   const auto found = inbound_.find(connection_id);
   if (found == inbound_.end()) return;
+  if (found->second->unsent_bytes() > kMaxUnsentBytes) {
+    found->second->Abort();
+    inbound_.erase(found);
+    QTimer::singleShot(0, this, [this, connection_id] {
+      handlers_.on_inbound_end_(connection_id);
+    });
+    return;
+  }
   found->second->Write(EncodeLinkMessage(message));
 }
 
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -52,14 +52,8 @@
       return "refused";
     case DecisionKind::kFailed:
       return "failed";
-    case DecisionKind::kSent:
-      return "sent";
-    case DecisionKind::kRetried:
-      return "retried";
     case DecisionKind::kCancelled:
       return "cancelled";
-    case DecisionKind::kRunRefused:
-      return "run_refused";
     case DecisionKind::kRunBroken:
       return "run_broken";
     case DecisionKind::kBackendChanged:
@@ -74,8 +68,6 @@
       return "store_back";
     case DecisionKind::kAdmissionChanged:
       return "admission_changed";
-    case DecisionKind::kSuspected:
-      return "suspected";
     case DecisionKind::kStopping:
       return "stopping";
     case DecisionKind::kReloaded:
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -24,7 +24,7 @@
   const double seconds = InSeconds(answer.elapsed_);
   const auto bucket = std::lower_bound(kBounds.begin(), kBounds.end(), seconds);
   ++series.buckets_.at(static_cast<std::size_t>(bucket - kBounds.begin()));
-  series.sum_ += seconds;
+  series.seconds_(seconds);
   ++series.by_status_[answer.response_.status_];
 }
 
@@ -46,7 +46,7 @@
     text << "jujubefront_relay_latency_seconds_bucket" << label
          << ",le=\"+Inf\"} " << total << '\n'
          << "jujubefront_relay_latency_seconds_sum" << label << "} "
-         << series.sum_ << '\n'
+         << boost::accumulators::sum(series.seconds_) << '\n'
          << "jujubefront_relay_latency_seconds_count" << label << "} " << total
          << '\n';
   }
--- a/src/sidecar/relay_metrics.h
+++ b/src/sidecar/relay_metrics.h
@@ -2,6 +2,11 @@
 #define JUJUBEFRONT_SIDECAR_RELAY_METRICS_H_
 
 #include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -26,9 +31,14 @@
   static constexpr std::array<double, 12> kBounds = {
       0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 6.0};
 
+  using Seconds = boost::accumulators::accumulator_set<
+      double, boost::accumulators::stats<boost::accumulators::tag::count,
+                                         boost::accumulators::tag::sum,
+                                         boost::accumulators::tag::max>>;
+
   struct Series {
     std::array<std::uint64_t, kBounds.size() + 1> buckets_{};
-    double sum_ = 0.0;
+    Seconds seconds_;
     std::map<int, std::uint64_t> by_status_;
   };
 
