--- a/src/http1/http1_server.cc
+++ b/src/http1/http1_server.cc
@@ -127,8 +127,7 @@
   connection.answers_head_ = request.method_ == "HEAD";
   connection.since_ = Clock::now();
   requests_[connection.request_id_] = &connection;
-  handlers_.on_request_(connection.request_id_, std::move(request),
-                        connection.socket_->remote_ip());
+  handlers_.on_request_(connection.request_id_, std::move(request));
 }
 
 void Http1Server::Refuse(Connection& connection, Http1Fault fault) {
--- a/src/http1/http1_server.h
+++ b/src/http1/http1_server.h
@@ -28,9 +28,8 @@
 class Http1Server : public QObject {
  public:
   struct Handlers {
-    // Must lead to one Answer. `remote_ip` is in host byte order.
-    std::function<void(std::uint64_t request_id, Http1Request request,
-                       std::uint32_t remote_ip)>
+    // Must lead to one Answer.
+    std::function<void(std::uint64_t request_id, Http1Request request)>
         on_request_;
     // The client left before its request was answered.
     std::function<void(std::uint64_t request_id)> on_client_gone_;
--- a/src/netio/tcp_connection.cc
+++ b/src/netio/tcp_connection.cc
@@ -78,12 +78,7 @@
 
 TcpConnection* TcpConnection::Adopt(int descriptor,
                                     const SilenceOptions& silence) {
-  sockaddr_in remote{};
-  socklen_t length = sizeof(remote);
-  getpeername(descriptor, reinterpret_cast<sockaddr*>(&remote), &length);
-  auto* connection = new TcpConnection(descriptor, true, silence);
-  connection->remote_ip_ = ntohl(remote.sin_addr.s_addr);
-  return connection;
+  return new TcpConnection(descriptor, true, silence);
 }
 
 TcpConnection* TcpConnection::Open(const std::string& address,
@@ -101,7 +96,6 @@
                                sizeof(remote));
   const bool refused = result < 0 && errno != EINPROGRESS;
   auto* connection = new TcpConnection(descriptor, false, silence);
-  connection->remote_ip_ = ip;
   // A refusal at once is reported like a later one, from the event loop.
   connection->refused_ = refused;
   return connection;
--- a/src/netio/tcp_connection.h
+++ b/src/netio/tcp_connection.h
@@ -74,7 +74,6 @@
 
   bool connected() const { return connected_; }
   std::size_t unsent_bytes() const { return outbox_.size() - outbox_start_; }
-  std::uint32_t remote_ip() const { return remote_ip_; }
 
  private:
   TcpConnection(int descriptor, bool connected, const SilenceOptions& silence);
@@ -92,7 +91,6 @@
   bool connected_ = false;
   bool ended_ = false;
   bool refused_ = false;  // the connection attempt failed at once
-  std::uint32_t remote_ip_ = 0;
   Handlers handlers_;
   std::string inbox_;
   std::size_t inbox_start_ = 0;
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -387,6 +387,19 @@
   return request;
 }
 
+// Tells the host of the present send that its answer is no longer needed.
+void CancelSend(RelayStep& step, const OpenRequest& request) {
+  const auto send = step.state_.sends_.find(request.send_id_);
+  if (send == step.state_.sends_.end()) return;
+  if (send->second.peer_ == step.options_.address_) {
+    OnRunCancel(step, 0, request.send_id_);
+    return;
+  }
+  step.effects_.emplace_back(
+      SendToPeer{.peer_ = send->second.peer_,
+                 .message_ = RunCancel{.send_id_ = request.send_id_}});
+}
+
 // A stopping node takes requests until clients have had time to move away, and
 // leaves the rest of its time to those that it has taken.
 bool IsClosing(const RelayStep& step) {
@@ -444,16 +457,7 @@
   if (found == step.state_.requests_.end()) return;
   OpenRequest& request = found->second;
   ++step.state_.counters_.cancelled_;
-  const auto send = step.state_.sends_.find(request.send_id_);
-  if (send != step.state_.sends_.end()) {
-    if (send->second.peer_ == step.options_.address_) {
-      OnRunCancel(step, 0, request.send_id_);
-    } else {
-      step.effects_.emplace_back(
-          SendToPeer{.peer_ = send->second.peer_,
-                     .message_ = RunCancel{.send_id_ = request.send_id_}});
-    }
-  }
+  CancelSend(step, request);
   step.state_.timers_.erase(
       {request.deadline_, RelayTimerKind::kRequestDeadline, request_id});
   step.state_.requests_.erase(found);
@@ -463,16 +467,7 @@
   const auto found = step.state_.requests_.find(request_id);
   if (found == step.state_.requests_.end()) return;
   OpenRequest& request = found->second;
-  const auto send = step.state_.sends_.find(request.send_id_);
-  if (send != step.state_.sends_.end()) {
-    if (send->second.peer_ == step.options_.address_) {
-      OnRunCancel(step, 0, request.send_id_);
-    } else {
-      step.effects_.emplace_back(
-          SendToPeer{.peer_ = send->second.peer_,
-                     .message_ = RunCancel{.send_id_ = request.send_id_}});
-    }
-  }
+  CancelSend(step, request);
   Fail(step, request, 504, "time is up");
 }
 
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -18,7 +18,6 @@
   std::string trace_id_;  // the client's id of this attempt
   std::string host_;      // Host header
   std::optional<Duration> remaining_;
-  bool from_own_host_ = false;
   Http1Request request_;
 };
 
@@ -73,7 +72,6 @@
   std::uint64_t sequence_ = 0;
   std::uint32_t slots_ = 0;
   bool draining_ = false;
-  Duration cold_left_ = Duration::zero();
 };
 
 // The own backend server says that it ends.
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -82,9 +82,8 @@
       log_(options_.log_),
       clients_(ServerOptions({}),
                {.on_request_ =
-                    [this](std::uint64_t id, Http1Request request,
-                           std::uint32_t remote_ip) {
-                      OnRequest(id, std::move(request), remote_ip);
+                    [this](std::uint64_t id, Http1Request request) {
+                      OnRequest(id, std::move(request));
                     },
                 .on_client_gone_ =
                     [this](std::uint64_t id) { Feed(RequesterGone{id}); }}),
@@ -190,15 +189,13 @@
   Feed(TableRead{.table_ = std::move(*table), .text_ = text.text_});
 }
 
-void RelayShell::OnRequest(std::uint64_t id, Http1Request request,
-                           std::uint32_t remote_ip) {
+void RelayShell::OnRequest(std::uint64_t id, Http1Request request) {
   RequestFacts facts = dialect_.read_request_(request);
   const std::string* host = FindHeader(request.headers_, "Host");
   Feed(RequestArrived{.request_id_ = id,
                       .trace_id_ = std::move(facts.trace_id_),
                       .host_ = host == nullptr ? "" : *host,
                       .remaining_ = facts.remaining_,
-                      .from_own_host_ = remote_ip == options_.own_ip_,
                       .request_ = std::move(request)});
 }
 
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -63,7 +63,6 @@
 struct RelayShellOptions {
   RelayOptions relay_;
   std::string client_address_;  // where requests arrive
-  std::uint32_t own_ip_ = 0;
   std::size_t max_client_connections_ = 2500;
   SilenceOptions link_silence_;
   SilenceOptions client_silence_;
@@ -96,8 +95,7 @@
 
   static Timestamp Now();
   void ArmWake();
-  void OnRequest(std::uint64_t id, Http1Request request,
-                 std::uint32_t remote_ip);
+  void OnRequest(std::uint64_t id, Http1Request request);
   void OnBackendResponse(std::uint64_t run_id, Http1Response response);
   Http1ServerOptions ServerOptions(const ClientLimits& limits) const;
   PeerLinks::Handlers LinkHandlers();
--- a/standins/platform/backend_standin.cc
+++ b/standins/platform/backend_standin.cc
@@ -16,8 +16,9 @@
 BackendStandin::BackendStandin(BackendStandinOptions options)
     : options_(std::move(options)),
       server_({}, {.on_request_ =
-                       [this](std::uint64_t id, const Http1Request& request,
-                              std::uint32_t) { OnRequest(id, request); },
+                       [this](std::uint64_t id, const Http1Request& request) {
+                         OnRequest(id, request);
+                       },
                    .on_client_gone_ = [](std::uint64_t) {}}),
       control_({},
                {.on_response_ =
--- a/standins/platform/store_standin.cc
+++ b/standins/platform/store_standin.cc
@@ -27,8 +27,9 @@
 
 StoreStandin::StoreStandin()
     : server_({}, {.on_request_ =
-                       [this](std::uint64_t id, const Http1Request& request,
-                              std::uint32_t) { OnRequest(id, request); },
+                       [this](std::uint64_t id, const Http1Request& request) {
+                         OnRequest(id, request);
+                       },
                    .on_client_gone_ =
                        [this](std::uint64_t id) { readers_.erase(id); }}) {}
 
