Tests: one table of the ways in which a backend server can answer, over real sockets

Orderly end against reset, cut short, another request's answer, bytes after an answer, closing headers; each with its outcome and whether the connection serves the next call.

--- /dev/null
+++ b/src/http1/tests/connection_tests.cc
@@ -0,0 +1,255 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QTimer>
+#include <memory>
+
+#include "http1/http1_client.h"
+#include "http1/http1_server.h"
+#include "netio/epoll_dispatcher.h"
+
+namespace jujubefront {
+namespace {
+
+constexpr const char* kAddress = "127.0.0.1:0";
+
+// One application for all tests of the program.
+void EnsureApplication() {
+  static int argc = 1;
+  static char name[] = "http1_tests";
+  static char* argv[] = {name, nullptr};
+  static const auto kApplication = [] {
+    QCoreApplication::setEventDispatcher(new EpollDispatcher);
+    return std::make_unique<QCoreApplication>(argc, argv);
+  }();
+}
+
+enum class ServerEnd : std::uint8_t { kStays, kCloses, kResets };
+
+// Answers the first bytes of each connection with a script.
+class ScriptedServer {
+ public:
+  ScriptedServer(std::string script, ServerEnd end)
+      : script_(std::move(script)),
+        end_(end),
+        listener_({}, [this](TcpConnection* s) { OnConnection(s); }) {
+    listener_.Listen(kAddress);
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(listener_.serverPort());
+  }
+  int connections() const { return connections_; }
+
+ private:
+  void OnConnection(TcpConnection* socket) {
+    ++connections_;
+    socket->SetHandlers(
+        {.on_connected_ = {},
+         .on_data_ =
+             [this, socket] {
+               socket->Consume(socket->inbox().size());
+               socket->Write(script_);
+               if (end_ == ServerEnd::kCloses) socket->Close();
+               if (end_ == ServerEnd::kResets) Reset(socket);
+             },
+         .on_flushed_ = {},
+         .on_end_ = [socket](ConnectionEnd) { socket->Close(); }});
+  }
+
+  // Lets the script arrive first, so that only the end differs.
+  void Reset(TcpConnection* socket) {
+    QTimer::singleShot(30, &listener_, [socket] { socket->Abort(); });
+  }
+
+  std::string script_;
+  ServerEnd end_;
+  TcpListener listener_;
+  int connections_ = 0;
+};
+
+// An address at which nothing listens.
+std::string FreeAddress() {
+  const ScriptedServer probe("", ServerEnd::kStays);
+  return probe.address();
+}
+
+struct Outcome {
+  int status_ = 0;  // 0: no response
+  std::string body_;
+  std::optional<Http1Failure> failure_;
+};
+
+Outcome Call(Http1Client& client, QEventLoop& loop, Outcome& outcome,
+             std::uint64_t id) {
+  outcome = {};
+  client.Send(id, {.method_ = "GET",
+                   .target_ = "/",
+                   .headers_ = {{"Host", "h"}, {"X-Id", "7"}}});
+  QTimer::singleShot(3000, &loop, &QEventLoop::quit);
+  loop.exec();
+  return outcome;
+}
+
+std::string Response(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+class ConnectionTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConnectionTests);
+  CPPUNIT_TEST(TellsWholeResponsesFromBrokenOnes);
+  CPPUNIT_TEST(RefusedConnectionsSentNothing);
+  CPPUNIT_TEST(ServerAnswersRequestsSentAheadInOrder);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // What becomes of each way in which a server can answer, and whether the
+  // connection serves the next call.
+  void TellsWholeResponsesFromBrokenOnes() {
+    struct Row {
+      const char* name_;
+      std::string script_;
+      ServerEnd end_;
+      int status_;
+      std::optional<Http1Failure> failure_;
+      bool reused_;
+    };
+    const std::string open_end = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nabc";
+    const std::string good = Response("7", "abc");
+    const Row rows[] = {
+        {"whole", good, ServerEnd::kStays, 200, {}, true},
+        {"no length, orderly end",
+         open_end,
+         ServerEnd::kCloses,
+         200,
+         {},
+         false},
+        {"no length, reset", open_end, ServerEnd::kResets, 0,
+         Http1Failure::kBroken, false},
+        {"cut short", good.substr(0, good.size() - 1), ServerEnd::kCloses, 0,
+         Http1Failure::kBroken, false},
+        {"nothing", "", ServerEnd::kCloses, 0, Http1Failure::kBroken, false},
+        {"no response", "rubbish\r\n\r\n", ServerEnd::kStays, 0,
+         Http1Failure::kMalformed, false},
+        {"another request's answer first",
+         Response("6", "old") + good,
+         ServerEnd::kStays,
+         200,
+         {},
+         false},
+        {"another request's answer only", Response("6", "old"),
+         ServerEnd::kCloses, 0, Http1Failure::kBroken, false},
+        {"bytes after the answer",
+         good + "more",
+         ServerEnd::kStays,
+         200,
+         {},
+         false},
+        {"asks to close",
+         "HTTP/1.1 200 OK\r\nX-Id: 7\r\nConnection: close\r\n"
+         "Content-Length: 3\r\n\r\nabc",
+         ServerEnd::kStays,
+         200,
+         {},
+         false},
+        {"keeps idle connections too briefly",
+         "HTTP/1.1 200 OK\r\nX-Id: 7\r\nKeep-Alive: timeout=1\r\n"
+         "Content-Length: 3\r\n\r\nabc",
+         ServerEnd::kStays,
+         200,
+         {},
+         false},
+    };
+    EnsureApplication();
+    for (const Row& row : rows) {
+      ScriptedServer server(row.script_, row.end_);
+      QEventLoop loop;
+      Outcome outcome;
+      Http1Client client(
+          {.correlation_header_ = "X-Id"},
+          {.on_response_ =
+               [&](std::uint64_t, const Http1Response& response) {
+                 outcome = {.status_ = response.status_,
+                            .body_ = response.body_};
+                 loop.quit();
+               },
+           .on_failure_ =
+               [&](std::uint64_t, Http1Failure failure) {
+                 outcome = {.failure_ = failure};
+                 loop.quit();
+               }});
+      client.SetAddress(server.address());
+      const Outcome first = Call(client, loop, outcome, 1);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.status_, first.status_);
+      CPPUNIT_ASSERT_MESSAGE(row.name_, row.failure_ == first.failure_);
+      if (row.status_ == 200) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::string("abc"),
+                                     first.body_);
+      }
+      Call(client, loop, outcome, 2);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.reused_ ? 1 : 2,
+                                   server.connections());
+    }
+  }
+
+  void RefusedConnectionsSentNothing() {
+    EnsureApplication();
+    const std::string address = FreeAddress();
+    QEventLoop loop;
+    Outcome outcome;
+    Http1Client client(
+        {}, {.on_response_ = [&](std::uint64_t, const Http1Response&) {},
+             .on_failure_ =
+                 [&](std::uint64_t, Http1Failure failure) {
+                   outcome.failure_ = failure;
+                   loop.quit();
+                 }});
+    client.SetAddress(address);
+    CPPUNIT_ASSERT(Call(client, loop, outcome, 1).failure_ ==
+                   Http1Failure::kNotSent);
+  }
+
+  void ServerAnswersRequestsSentAheadInOrder() {
+    EnsureApplication();
+    std::vector<std::uint64_t> asked;
+    Http1Server server(
+        {}, {.on_request_ = [&](std::uint64_t id,
+                                const Http1Request&) { asked.push_back(id); },
+             .on_client_gone_ = [](std::uint64_t) {}});
+    const std::string address = FreeAddress();
+    CPPUNIT_ASSERT(server.Listen(address));
+    auto* socket = TcpConnection::Open(address, {});
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::string received;
+    QEventLoop loop;
+    socket->SetHandlers(
+        {.on_connected_ = [&] { socket->Write(request + request); },
+         .on_data_ =
+             [&] {
+               received += socket->inbox();
+               socket->Consume(socket->inbox().size());
+             },
+         .on_flushed_ = {},
+         .on_end_ = {}});
+    // The second request is not read before the first is answered.
+    for (std::size_t count = 1; count <= 2; ++count) {
+      QTimer::singleShot(100, &loop, &QEventLoop::quit);
+      loop.exec();
+      CPPUNIT_ASSERT_EQUAL(count, asked.size());
+      server.Answer(asked.back(), {.status_ = 200 + static_cast<int>(count)});
+    }
+    QTimer::singleShot(100, &loop, &QEventLoop::quit);
+    loop.exec();
+    CPPUNIT_ASSERT(received.find(" 201 ") < received.find(" 202 "));
+    CPPUNIT_ASSERT(received.find(" 202 ") != std::string::npos);
+    socket->Close();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionTests);
+
+}  // namespace
+}  // namespace jujubefront
