--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -33,6 +33,11 @@
 // The peer does not answer; requests that may be repeated go elsewhere.
 void OnPeerSuspected(RelayStep& step, Peer& peer);
 
+// Hosts that can take a request, with what is known of them.
+std::vector<Place> PlacesFor(RelayStep& step, const OpenRequest& request);
+// Counts how a run at a peer's backend server ended.
+void NoteExperience(RelayStep& step, Peer& peer, bool failed);
+
 // Host side.
 void OnRunOrder(RelayStep& step, std::uint64_t connection_id, RunOrder& order);
 void OnRunCancel(RelayStep& step, std::uint64_t connection_id,
