Control: zones pass on sums, hosts of other zones hear little

Cause: each busy host told every host of its region its whole status up to a hundred times a second, two thirds of all bytes between zones at 97 hosts; a change of the document was told to every host by each of 32 readers, and opened 32 waits anew.

Change: the host that ranks first in a zone adds up what the zone reports and sends the sum to two hosts by turns in each other zone of the region, which pass it on. Statuses across zones carry no demand and go every 2 s, every 0.5 s while the backend server has hardly a free slot; changes of state go at once, as before. Two readers of the store a zone; a pause of 0.5 s while documents follow one another; a new version is told to the own zone and two hosts of each other one. Hosts are indexed by service, so that a request looks at those of its service only. A sum is taken whole, never added to an older one; silent and lost hosts are left out; a zone not heard of for 4 s is left out with its demand and its slots. 1.05 of the slots are given out.

--- a/src/allocation/allocation.h
+++ b/src/allocation/allocation.h
@@ -29,8 +29,8 @@
 // Settings of the allocation.
 struct AllocationOptions {
   // Part of the slots of a service that is given out. Calls may wait a little,
-  // which evens out arrivals, so that nothing has to be held back.
-  double utilisation_ = 1.0;
+  // which evens out arrivals, and not all of what is admitted uses its part.
+  double utilisation_ = 1.05;
 };
 
 // Slot seconds that one run of a route needs at each service, with everything
--- a/src/relay/internal/demand.cc
+++ b/src/relay/internal/demand.cc
@@ -2,6 +2,7 @@
 
 #include "allocation/tree_success.h"
 #include "relay/internal/relay_step.h"
+#include "relay/internal/zone_sums.h"
 
 namespace jujubefront {
 namespace {
@@ -11,7 +12,6 @@
 // Routes without requests for so long, or with fewer a second, are forgotten.
 constexpr Duration kStatsLife = std::chrono::seconds(10);
 constexpr double kLeastDemand = 0.02;
-// Profiles that rest on fewer runs say nothing yet.
 constexpr double kLeastRuns = 3.0;
 // The longest deadline seen shrinks slowly, so that a change of the clients'
 // habits is noticed.
@@ -28,24 +28,6 @@
 // server and the rounding to milliseconds.
 constexpr Duration kDeadlineTolerance = std::chrono::milliseconds(3);
 
-// Adds a measurement of one host to the mean over hosts.
-void Merge(RouteProfile& total, const RouteProfile& part) {
-  if (part.runs_ <= 0.0) return;
-  const double weight = part.runs_ / (total.runs_ + part.runs_);
-  total.route_ = part.route_;
-  total.service_ = part.service_;
-  total.slot_seconds_ += weight * (part.slot_seconds_ - total.slot_seconds_);
-  for (auto& [route, mean] : total.calls_) {
-    const auto found = part.calls_.find(route);
-    const double other = found == part.calls_.end() ? 0.0 : found->second;
-    mean += weight * (other - mean);
-  }
-  for (const auto& [route, mean] : part.calls_) {
-    if (!total.calls_.contains(route)) total.calls_[route] = weight * mean;
-  }
-  total.runs_ += part.runs_;
-}
-
 // Takes the counts of a window into the fit of calls to runs. Routes that
 // clients use too say nothing about the backend server's calls.
 void CloseCallWindow(RelayStep& step) {
@@ -76,62 +58,18 @@
   rate += kDemandWeight * (measured - rate);
 }
 
-struct RegionView {
-  std::map<std::string, RouteProfile> profiles_;
-  std::map<std::string, RouteDemand> demands_;
-  std::map<std::string, double> slots_;
-  std::vector<RouteArrivals> arrivals_;
-  std::map<std::string, double> runs_;  // in progress and waiting, by service
-  std::map<std::string, double> rejected_slots_;  // slots times share rejected
-};
-
-// What the hosts of the own region report. Regions are planned apart, since
-// requests hardly ever cross.
-RegionView ViewRegion(const RelayStep& step) {
-  RegionView view;
-  for (const auto& [address, peer] : step.state_.peers_) {
-    const HostStatus& status = peer.status_;
-    const bool own = address == step.options_.address_;
-    if (!own && (!peer.known_ || !peer.connected_)) continue;
-    if (status.region_ != step.options_.region_) continue;
-    for (const RouteProfile& profile : status.profiles_) {
-      Merge(view.profiles_[profile.route_], profile);
-    }
-    for (const RouteDemand& demand : status.demands_) {
-      RouteDemand& total = view.demands_[demand.route_];
-      total.route_ = demand.route_;
-      total.priority_ = demand.priority_;
-      total.per_second_ += demand.per_second_;
-      total.arrivals_per_second_ += demand.arrivals_per_second_;
-      view.arrivals_.push_back({.route_ = demand.route_,
-                                .host_service_ = status.service_,
-                                .per_second_ = demand.arrivals_per_second_});
-    }
-    if (status.backend_ == BackendState::kReady && !status.leaving_) {
-      view.slots_[status.service_] += status.slots_;
-      view.runs_[status.service_] += status.running_ + status.waiting_;
-      view.rejected_slots_[status.service_] +=
-          status.slots_ * status.rejected_share_;
-    }
-  }
-  std::erase_if(view.profiles_, [](const auto& entry) {
-    return entry.second.runs_ < kLeastRuns;
-  });
-  return view;
-}
-
 // Slots that have to be divided up: of services without pressure nobody is
 // refused, whatever the measured costs say.
 std::map<std::string, double> PressedSlots(RelayStep& step,
                                            const RegionView& view) {
   std::map<std::string, double> pressed;
-  for (const auto& [service, slots] : view.slots_) {
-    if (slots <= 0.0) continue;
-    const auto runs = view.runs_.find(service);
-    const double busy = runs == view.runs_.end() ? 0.0 : runs->second / slots;
+  for (const auto& [service, load] : view.services_) {
+    if (load.slots_ <= 0.0) continue;
     ServicePressure& pressure = step.state_.pressure_[service];
-    pressure = UpdatePressure(pressure, busy);
-    if (IsPressed(pressure)) pressed[service] = slots * pressure.correction_;
+    pressure = UpdatePressure(pressure, load.runs_ / load.slots_);
+    if (IsPressed(pressure)) {
+      pressed[service] = load.slots_ * pressure.correction_;
+    }
   }
   return pressed;
 }
@@ -139,13 +77,23 @@
 // Shares that the region's backend servers reject, by service.
 std::map<std::string, double> RejectedShares(const RegionView& view) {
   std::map<std::string, double> shares;
-  for (const auto& [service, rejected] : view.rejected_slots_) {
-    const double slots = view.slots_.at(service);
-    if (rejected > 0.0 && slots > 0.0) shares[service] = rejected / slots;
+  for (const auto& [service, load] : view.services_) {
+    if (load.rejected_slots_ <= 0.0 || load.slots_ <= 0.0) continue;
+    shares[service] = load.rejected_slots_ / load.slots_;
   }
   return shares;
 }
 
+std::vector<RouteArrivals> ArrivalsOf(const RegionView& view) {
+  std::vector<RouteArrivals> arrivals;
+  for (const auto& [key, per_second] : view.arrivals_) {
+    arrivals.push_back({.route_ = key.first,
+                        .host_service_ = key.second,
+                        .per_second_ = per_second});
+  }
+  return arrivals;
+}
+
 // Takes from the admitted shares what would not complete anyway.
 void RefuseDoomedTrees(RelayStep& step, const RegionView& view) {
   RelayState& state = step.state_;
@@ -255,9 +203,14 @@
                          InSeconds(elapsed);
   state.refused_in_window_ = 0;
   ShareRetries(step);
+  TickZoneSums(step);
   RegionView view = ViewRegion(step);
+  // Too few runs say nothing yet.
+  std::erase_if(view.profiles_, [](const auto& entry) {
+    return entry.second.runs_ < kLeastRuns;
+  });
   const std::map<std::string, double> slots = PressedSlots(step, view);
-  state.called_routes_ = FindCalledRoutes(view.arrivals_);
+  state.called_routes_ = FindCalledRoutes(ArrivalsOf(view));
   std::vector<RouteDemand> demands;
   demands.reserve(view.demands_.size());
   for (const auto& [route, demand] : view.demands_) {
--- a/src/relay/internal/host_choice.cc
+++ b/src/relay/internal/host_choice.cc
@@ -45,7 +45,7 @@
 bool TakesRuns(const RelayStep& step, const Peer& peer,
                const OpenRequest& request) {
   const HostStatus& status = peer.status_;
-  if (status.service_ != request.service_ || status.leaving_) return false;
+  if (status.leaving_) return false;
   if (status.backend_ != BackendState::kReady) return false;
   const bool own = peer.address_ == step.options_.address_;
   if (!own && (!peer.connected_ || peer.suspected_)) return false;
@@ -64,7 +64,10 @@
 
 std::vector<Place> PlacesFor(RelayStep& step, const OpenRequest& request) {
   std::vector<Place> places;
-  for (const auto& [address, peer] : step.state_.peers_) {
+  const auto hosts = step.state_.hosts_of_service_.find(request.service_);
+  if (hosts == step.state_.hosts_of_service_.end()) return places;
+  for (const auto& [address, host] : hosts->second) {
+    const Peer& peer = *host;
     if (!TakesRuns(step, peer, request)) continue;
     const HostStatus& status = peer.status_;
     const auto reported =
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -3,6 +3,7 @@
 
 #include "base/hashing.h"
 #include "relay/internal/relay_step.h"
+#include "relay/internal/zone_sums.h"
 
 namespace jujubefront {
 namespace {
@@ -10,6 +11,12 @@
 constexpr Duration kFirstReconnectWait = std::chrono::milliseconds(100);
 // A host without load tells so less often.
 constexpr int kIdleStatusFactor = 4;
+// Part of the slots from which a host tells other zones more often, and how
+// long it goes on, so that they learn of the end.
+constexpr double kPressedShare = 0.8;
+constexpr Duration kPressedMemory = std::chrono::seconds(1);
+// Hosts of another zone that are told of a new document at once.
+constexpr std::size_t kTableReceivers = 2;
 // Time in which a node of the zone should have brought a document that a node
 // of another has, so that it crosses a link once; twice as long for regions.
 constexpr Duration kTableGrace = std::chrono::milliseconds(300);
@@ -56,26 +63,44 @@
           static_cast<double>(peer.reconnect_wait_.count()) * (0.5 + unit)));
 }
 
-// Costs and demand are planned within a region, so that hosts of others are
-// told neither.
-HostStatus ForOtherRegion(HostStatus status) {
-  status.profiles_.clear();
+// Demand and calls of a run are planned from sums of zones, so that hosts of
+// other zones are told neither; those of other regions hardly ever send here.
+HostStatus ForOtherZone(HostStatus status, Distance distance) {
   status.demands_.clear();
+  if (distance == Distance::kOtherRegion) status.profiles_.clear();
+  for (RouteProfile& profile : status.profiles_) profile.calls_.clear();
   return status;
 }
 
+bool IsPressed(const RelayState& state) {
+  const auto wanted = static_cast<double>(state.running_) +
+                      static_cast<double>(state.waiting_.runs_.size()) +
+                      state.refused_slots_;
+  return wanted >= kPressedShare * state.backend_.slots_;
+}
+
 void SendStatus(RelayStep& step, Peer& peer, const HostStatus& status) {
   peer.status_sent_at_ = step.now_;
   ++step.state_.counters_.statuses_sent_;
-  if (peer.known_ && peer.status_.region_ != step.options_.region_) {
-    step.effects_.emplace_back(
-        SendToPeer{.peer_ = peer.address_, .message_ = ForOtherRegion(status)});
+  const Distance distance = DistanceTo(step.options_, peer.status_);
+  if (peer.known_ && distance != Distance::kSameZone) {
+    step.effects_.emplace_back(SendToPeer{
+        .peer_ = peer.address_, .message_ = ForOtherZone(status, distance)});
     return;
   }
   step.effects_.emplace_back(
       SendToPeer{.peer_ = peer.address_, .message_ = status});
 }
 
+void SetStatus(RelayStep& step, Peer& peer, HostStatus status) {
+  auto& hosts = step.state_.hosts_of_service_;
+  if (peer.status_.service_ != status.service_) {
+    hosts[peer.status_.service_].erase(peer.address_);
+  }
+  hosts[status.service_][peer.address_] = &peer;
+  peer.status_ = std::move(status);
+}
+
 void CheckSilence(RelayStep& step, Peer& peer) {
   if (peer.in_flight_ == 0) {
     peer.suspected_ = false;
@@ -165,11 +190,13 @@
     case Distance::kSameZone:
       return std::max(options.zone_status_interval_ * idle,
                       options.zone_status_spacing_ * hosts);
-    case Distance::kSameRegion:
-      return std::max(idle == 1
-                          ? options.region_status_interval_
-                          : options.zone_status_interval_ * kIdleStatusFactor,
+    case Distance::kSameRegion: {
+      const bool pressed =
+          step.now_ - step.state_.pressed_at_ <= kPressedMemory;
+      return std::max(pressed ? options.region_status_interval_
+                              : options.calm_region_status_interval_,
                       options.region_status_spacing_ * hosts);
+    }
     case Distance::kOtherRegion:
       return std::max(options.far_status_interval_,
                       options.far_status_spacing_ * hosts);
@@ -253,7 +280,9 @@
       .table_version_ = state.table_.version_,
       .profiles_ = OwnProfiles(state),
       .demands_ = OwnDemands(state),
-      .reads_store_ = state.store_.waiting_ && state.store_.available_,
+      .reads_store_ =
+          state.store_.available_ &&
+          (state.store_.waiting_ || step.now_ < state.store_.paused_until_),
       .rejected_share_ = state.arrivals_.rejected_share_};
   return status;
 }
@@ -262,19 +291,40 @@
   const HostStatus status = MakeStatus(step);
   for (auto& [address, peer] : step.state_.peers_) {
     if (address == step.options_.address_) {
-      peer.status_ = status;
+      SetStatus(step, peer, status);
     } else if (peer.connected_) {
       SendStatus(step, peer, status);
     }
   }
 }
 
-void BroadcastTableVersion(RelayStep& step) {
+void BroadcastTableVersion(RelayStep& step, bool from_peer) {
   const HostStatus status = MakeStatus(step);
-  for (auto& [address, peer] : step.state_.peers_) {
+  const std::uint64_t version = status.table_version_;
+  bool zone_has_it = false;
+  std::vector<std::string> older;
+  for (const auto& [address, peer] : step.state_.peers_) {
     if (address == step.options_.address_ || !peer.connected_) continue;
-    if (peer.status_.table_version_ >= status.table_version_) continue;
-    SendStatus(step, peer, status);
+    if (peer.status_.zone_ != step.options_.zone_) continue;
+    if (peer.status_.table_version_ >= version) {
+      zone_has_it = true;
+    } else {
+      older.push_back(address);
+    }
+  }
+  // Who got it from a peer of the zone has peers that got it, too.
+  if (from_peer && zone_has_it) return;
+  if (!from_peer) {
+    for (const auto& [zone, hosts] : FirstHostsOfZones(step, kTableReceivers)) {
+      for (const Peer* host : hosts) {
+        if (host->status_.table_version_ < version) {
+          older.push_back(host->address_);
+        }
+      }
+    }
+  }
+  for (const std::string& address : older) {
+    SendStatus(step, step.state_.peers_.at(address), status);
   }
 }
 
@@ -296,7 +346,7 @@
   peer.status_at_ = step.now_;
   if (first || status.table_version_ != version) peer.version_at_ = step.now_;
   if (restarted) peer.holds_.clear();
-  peer.status_ = std::move(status);
+  SetStatus(step, peer, std::move(status));
   peer.sent_since_ = 0;
   if (first || restarted) LogPeer(step, peer, first ? "known" : "restarted");
   // A process that was away may be reached again at once.
@@ -348,6 +398,7 @@
 }
 
 void TickPeers(RelayStep& step) {
+  if (IsPressed(step.state_)) step.state_.pressed_at_ = step.now_;
   AskForTable(step);
   AskForPeers(step);
   const Neighbours neighbours = CountNeighbours(step);
@@ -377,11 +428,13 @@
     }
   }
   for (const std::string& address : forgotten) {
+    Peer& peer = step.state_.peers_.at(address);
+    step.state_.hosts_of_service_[peer.status_.service_].erase(address);
     step.state_.peers_.erase(address);
   }
   const auto own = step.state_.peers_.find(step.options_.address_);
   if (own != step.state_.peers_.end()) {
-    own->second.status_ = status ? *status : MakeStatus(step);
+    SetStatus(step, own->second, status ? *status : MakeStatus(step));
   }
 }
 
--- a/src/relay/internal/rejections.cc
+++ b/src/relay/internal/rejections.cc
@@ -63,10 +63,10 @@
   ArrivalMeter& meter = step.state_.arrivals_;
   // Nothing that arrived says nothing new; the belief fades all the same, so
   // that requests come and tell.
-  const double rejected =
-      meter.arrived_ == 0 ? 0.0
-                          : static_cast<double>(meter.rejected_) /
-                                static_cast<double>(meter.arrived_);
+  const double rejected = meter.arrived_ == 0
+                              ? 0.0
+                              : static_cast<double>(meter.rejected_) /
+                                    static_cast<double>(meter.arrived_);
   meter.rejected_share_ +=
       kWindowWeight * (std::min(1.0, rejected) - meter.rejected_share_);
   meter.arrived_ = 0;
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -84,8 +84,9 @@
 HostStatus MakeStatus(RelayStep& step);
 // Tells every connected peer at once.
 void BroadcastStatus(RelayStep& step);
-// Tells the connected peers whose document is older.
-void BroadcastTableVersion(RelayStep& step);
+// Tells those peers whose document is older that pass it on: the own zone, and
+// the first hosts of the others.
+void BroadcastTableVersion(RelayStep& step, bool from_peer);
 void TickPeers(RelayStep& step);
 Distance DistanceTo(const RelayOptions& options, const HostStatus& status);
 void NoteHeard(Peer& peer, Timestamp now);
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -93,6 +93,15 @@
                  .wait_ = PollWait(step)});
 }
 
+// Every change ends the waits of all readers, and each opens a new one.
+void NoteChangeAtStore(RelayStep& step) {
+  StoreState& store = step.state_.store_;
+  if (step.now_ - store.changed_at_ < step.options_.document_rush_) {
+    store.paused_until_ = step.now_ + step.options_.document_pause_;
+  }
+  store.changed_at_ = step.now_;
+}
+
 }  // namespace
 
 void StartStore(RelayStep& step) {
@@ -117,8 +126,8 @@
   step.effects_.emplace_back(
       ApplyClientLimits{.limits_ = state.table_.limits_});
   UpdateReady(step);
-  // Who got it from a peer has peers that got it, too.
-  if (!read.from_peer_) BroadcastTableVersion(step);
+  if (!read.from_peer_) NoteChangeAtStore(step);
+  BroadcastTableVersion(step, read.from_peer_);
 }
 
 void OnTableOffset(RelayStep& step, std::uint64_t next) {
@@ -131,6 +140,7 @@
 void TickStore(RelayStep& step) {
   const StoreState& store = step.state_.store_;
   if (store.waiting_ || !store.next_offset_ || !IsReader(step)) return;
+  if (step.now_ < store.paused_until_) return;
   Await(step);
 }
 
--- /dev/null
+++ b/src/relay/internal/zone_sums.h
@@ -0,0 +1,41 @@
+#ifndef JUJUBEFRONT_RELAY_INTERNAL_ZONE_SUMS_H_
+#define JUJUBEFRONT_RELAY_INTERNAL_ZONE_SUMS_H_
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "relay/internal/relay_step.h"
+
+namespace jujubefront {
+
+// What a region's hosts report, added up by service and route. Hosts of the own
+// zone are heard one by one; another zone's come as one sum, made by the host
+// that ranks first there.
+struct RegionView {
+  std::uint32_t hosts_ = 0;
+  std::map<std::string, RouteProfile> profiles_;
+  std::map<std::string, RouteDemand> demands_;
+  // Arrivals a second, by route and service of the hosts where they arrive.
+  std::map<std::pair<std::string, std::string>, double> arrivals_;
+  std::map<std::string, ServiceLoad> services_;
+};
+
+RegionView ViewRegion(const RelayStep& step);
+
+// Sends the own zone's sum to the region's other zones, if that is this node's
+// part, and forgets sums that are too old.
+void TickZoneSums(RelayStep& step);
+
+// Takes another zone's sum, and passes it on in the own zone if it came from
+// outside.
+void OnZoneSum(RelayStep& step, std::uint64_t connection_id, ZoneSum& sum);
+
+// The hosts of every other zone that rank first of those that can be reached.
+std::map<std::string, std::vector<const Peer*>> FirstHostsOfZones(
+    const RelayStep& step, std::size_t count);
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_RELAY_INTERNAL_ZONE_SUMS_H_
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -9,6 +9,7 @@
 
 #include "allocation/allocation.h"
 #include "base/time_types.h"
+#include "callgraph/callgraph.h"
 #include "http1/http1_types.h"
 
 namespace jujubefront {
@@ -45,6 +46,28 @@
   double rejected_share_ = 0.0;
 };
 
+// Slots of a service in a zone and what is done with them.
+struct ServiceLoad {
+  std::string service_;
+  double slots_ = 0.0;
+  double runs_ = 0.0;            // in progress and waiting
+  double rejected_slots_ = 0.0;  // slots times the share that is rejected
+};
+
+// What the hosts of a zone report, added up, for planning in other zones.
+struct ZoneSum {
+  std::string zone_;
+  std::string region_;
+  std::string maker_;  // address of the node that added up
+  std::uint64_t maker_boot_ = 0;
+  std::uint64_t sequence_ = 0;  // order of the sums of one maker
+  std::uint32_t hosts_ = 0;
+  std::vector<RouteProfile> profiles_;
+  std::vector<RouteDemand> demands_;
+  std::vector<RouteArrivals> arrivals_;
+  std::vector<ServiceLoad> services_;
+};
+
 // A request on its way from the entry to the host that shall run it.
 struct RunOrder {
   std::uint64_t send_id_ = 0;
@@ -131,7 +154,7 @@
 
 using LinkMessage =
     std::variant<HostStatus, RunOrder, RunReply, RunCancel, PeerPing, PeerPong,
-                 TableQuery, TableText, PeersQuery, PeerAddresses>;
+                 TableQuery, TableText, PeersQuery, PeerAddresses, ZoneSum>;
 
 }  // namespace jujubefront
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -1,6 +1,7 @@
 #include "relay/relay.h"
 
 #include "relay/internal/relay_step.h"
+#include "relay/internal/zone_sums.h"
 
 namespace jujubefront {
 namespace {
@@ -76,6 +77,8 @@
     OnTableQuery(step, connection, *query);
   } else if (std::holds_alternative<PeersQuery>(received.message_)) {
     OnPeersQuery(step, connection);
+  } else if (auto* sum = std::get_if<ZoneSum>(&received.message_)) {
+    OnZoneSum(step, connection, *sum);
   } else if (auto* known = std::get_if<PeerAddresses>(&received.message_)) {
     for (const auto& address : known->addresses_) EnsurePeer(step, address);
   }
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -49,6 +49,9 @@
   // other regions. Changes of state are told at once.
   Duration zone_status_interval_ = std::chrono::milliseconds(250);
   Duration region_status_interval_ = std::chrono::milliseconds(500);
+  // The second one while the own backend server has free slots: load comes
+  // with every reply, and sums of zones are sent apart.
+  Duration calm_region_status_interval_ = std::chrono::seconds(2);
   Duration far_status_interval_ = std::chrono::seconds(4);
   // Least time between two status messages to hosts of the zone, of the region
   // and of other regions, whoever gets them: bounds their number as hosts
@@ -57,7 +60,11 @@
   Duration region_status_spacing_ = std::chrono::milliseconds(10);
   Duration far_status_spacing_ = std::chrono::milliseconds(200);
   // Nodes of a zone that wait for documents at the store, if so many can.
-  std::uint32_t store_readers_per_zone_ = 4;
+  std::uint32_t store_readers_per_zone_ = 2;
+  // Pause before the next wait while documents follow one another: what comes
+  // in the meantime is read at once.
+  Duration document_pause_ = std::chrono::milliseconds(500);
+  Duration document_rush_ = std::chrono::seconds(2);
   // Window over which demand and run profiles are averaged.
   Duration load_window_ = std::chrono::milliseconds(1000);
   Duration reconnect_interval_ = std::chrono::milliseconds(500);
@@ -150,6 +157,12 @@
   double rejected_share_ = 0.0;  // smoothed
 };
 
+// Newest sum of another zone of the region.
+struct KnownZoneSum {
+  ZoneSum sum_;
+  Timestamp heard_at_;
+};
+
 // Own experience of a peer's backend server.
 struct Experience {
   double failure_share_ = 0.0;
@@ -219,6 +232,8 @@
   Duration retry_wait_ = Duration::zero();
   bool available_ = true;
   Timestamp failed_since_;
+  Timestamp changed_at_;    // when the store last had a newer document
+  Timestamp paused_until_;  // no new wait before
 };
 
 enum class RelayTimerKind : std::uint8_t {
@@ -290,6 +305,11 @@
   std::uint32_t refused_in_window_ = 0;
   double refused_slots_ = 0.0;
   std::map<std::string, Peer> peers_;
+  // Peers and the own host, by the service of their backend server.
+  std::map<std::string, std::map<std::string, Peer*>> hosts_of_service_;
+  std::map<std::string, KnownZoneSum> zone_sums_;  // of other zones
+  std::uint64_t zone_sum_sequence_ = 0;
+  Timestamp pressed_at_;  // own backend server had hardly a free slot
   Timestamp table_asked_at_;
   Timestamp peers_asked_at_;
   std::unordered_map<std::uint64_t, InboundLink> inbound_links_;
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -17,6 +17,7 @@
     tableText @7 :TableText;
     peersQuery @8 :Void;
     peers @9 :List(Text);  # addresses that the sender knows
+    zoneSum @10 :ZoneSum;
   }
 }
 
@@ -35,6 +36,7 @@
   runs @1 :Float64;
   slotSeconds @2 :Float64;
   calls @3 :List(Rate);
+  service @4 :Text;  # within a zone sum; a status names it once
 }
 
 struct Demand {
@@ -44,6 +46,32 @@
   arrivalsPerSecond @3 :Float32;
 }
 
+struct Arrivals {
+  route @0 :Text;
+  hostService @1 :Text;
+  perSecond @2 :Float32;
+}
+
+struct ServiceLoad {
+  service @0 :Text;
+  slots @1 :Float32;
+  runs @2 :Float32;
+  rejectedSlots @3 :Float32;
+}
+
+struct ZoneSum {
+  zone @0 :Text;
+  region @1 :Text;
+  maker @2 :Text;
+  makerBoot @3 :UInt64;
+  sequence @4 :UInt64;
+  hosts @5 :UInt32;
+  profiles @6 :List(Profile);
+  demands @7 :List(Demand);
+  arrivals @8 :List(Arrivals);
+  services @9 :List(ServiceLoad);
+}
+
 struct Status {
   address @0 :Text;
   boot @1 :UInt64;
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -52,15 +52,16 @@
   return headers;
 }
 
-void WriteProfiles(linkwire::Status::Builder builder,
-                   const HostStatus& status) {
-  auto profiles = builder.initProfiles(status.profiles_.size());
-  for (unsigned i = 0; i < status.profiles_.size(); ++i) {
-    const RouteProfile& profile = status.profiles_[i];
-    profiles[i].setRoute(ToText(profile.route_));
-    profiles[i].setRuns(profile.runs_);
-    profiles[i].setSlotSeconds(profile.slot_seconds_);
-    auto calls = profiles[i].initCalls(profile.calls_.size());
+void Write(capnp::List<linkwire::Profile>::Builder list,
+           const std::vector<RouteProfile>& profiles, bool with_service) {
+  for (unsigned i = 0; i < profiles.size(); ++i) {
+    const RouteProfile& profile = profiles[i];
+    list[i].setRoute(ToText(profile.route_));
+    if (with_service) list[i].setService(ToText(profile.service_));
+    list[i].setRuns(profile.runs_);
+    list[i].setSlotSeconds(profile.slot_seconds_);
+    auto calls =
+        list[i].initCalls(static_cast<unsigned>(profile.calls_.size()));
     unsigned at = 0;
     for (const auto& [route, mean] : profile.calls_) {
       calls[at].setRoute(ToText(route));
@@ -69,6 +70,43 @@
   }
 }
 
+std::vector<RouteProfile> Read(capnp::List<linkwire::Profile>::Reader list) {
+  std::vector<RouteProfile> profiles;
+  for (const auto profile : list) {
+    RouteProfile& added = profiles.emplace_back();
+    added.route_ = ToString(profile.getRoute());
+    added.service_ = ToString(profile.getService());
+    added.runs_ = profile.getRuns();
+    added.slot_seconds_ = profile.getSlotSeconds();
+    for (const auto call : profile.getCalls()) {
+      added.calls_[ToString(call.getRoute())] = call.getValue();
+    }
+  }
+  return profiles;
+}
+
+void Write(capnp::List<linkwire::Demand>::Builder list,
+           const std::vector<RouteDemand>& demands) {
+  for (unsigned i = 0; i < demands.size(); ++i) {
+    list[i].setRoute(ToText(demands[i].route_));
+    list[i].setPriority(demands[i].priority_);
+    list[i].setPerSecond(static_cast<float>(demands[i].per_second_));
+    list[i].setArrivalsPerSecond(
+        static_cast<float>(demands[i].arrivals_per_second_));
+  }
+}
+
+std::vector<RouteDemand> Read(capnp::List<linkwire::Demand>::Reader list) {
+  std::vector<RouteDemand> demands;
+  for (const auto demand : list) {
+    demands.push_back({.route_ = ToString(demand.getRoute()),
+                       .priority_ = demand.getPriority(),
+                       .per_second_ = demand.getPerSecond(),
+                       .arrivals_per_second_ = demand.getArrivalsPerSecond()});
+  }
+  return demands;
+}
+
 void Write(linkwire::Message::Builder message, const HostStatus& status) {
   auto builder = message.initStatus();
   builder.setAddress(ToText(status.address_));
@@ -85,15 +123,10 @@
   builder.setRunning(status.running_);
   builder.setWaiting(status.waiting_);
   builder.setTableVersion(status.table_version_);
-  WriteProfiles(builder, status);
-  auto demands = builder.initDemands(status.demands_.size());
-  for (unsigned i = 0; i < status.demands_.size(); ++i) {
-    demands[i].setRoute(ToText(status.demands_[i].route_));
-    demands[i].setPriority(status.demands_[i].priority_);
-    demands[i].setPerSecond(static_cast<float>(status.demands_[i].per_second_));
-    demands[i].setArrivalsPerSecond(
-        static_cast<float>(status.demands_[i].arrivals_per_second_));
-  }
+  Write(builder.initProfiles(static_cast<unsigned>(status.profiles_.size())),
+        status.profiles_, false);
+  Write(builder.initDemands(static_cast<unsigned>(status.demands_.size())),
+        status.demands_);
   builder.setReadsStore(status.reads_store_);
   builder.setRejectedShare(static_cast<float>(status.rejected_share_));
 }
@@ -115,28 +148,70 @@
   status.running_ = reader.getRunning();
   status.waiting_ = reader.getWaiting();
   status.table_version_ = reader.getTableVersion();
-  for (const auto profile : reader.getProfiles()) {
-    RouteProfile& added = status.profiles_.emplace_back();
-    added.route_ = ToString(profile.getRoute());
-    added.service_ = status.service_;
-    added.runs_ = profile.getRuns();
-    added.slot_seconds_ = profile.getSlotSeconds();
-    for (const auto call : profile.getCalls()) {
-      added.calls_[ToString(call.getRoute())] = call.getValue();
-    }
-  }
-  for (const auto demand : reader.getDemands()) {
-    status.demands_.push_back(
-        {.route_ = ToString(demand.getRoute()),
-         .priority_ = demand.getPriority(),
-         .per_second_ = demand.getPerSecond(),
-         .arrivals_per_second_ = demand.getArrivalsPerSecond()});
+  status.profiles_ = Read(reader.getProfiles());
+  for (RouteProfile& profile : status.profiles_) {
+    profile.service_ = status.service_;
   }
+  status.demands_ = Read(reader.getDemands());
   status.reads_store_ = reader.getReadsStore();
   status.rejected_share_ = reader.getRejectedShare();
   return status;
 }
 
+void Write(linkwire::Message::Builder message, const ZoneSum& sum) {
+  auto builder = message.initZoneSum();
+  builder.setZone(ToText(sum.zone_));
+  builder.setRegion(ToText(sum.region_));
+  builder.setMaker(ToText(sum.maker_));
+  builder.setMakerBoot(sum.maker_boot_);
+  builder.setSequence(sum.sequence_);
+  builder.setHosts(sum.hosts_);
+  Write(builder.initProfiles(static_cast<unsigned>(sum.profiles_.size())),
+        sum.profiles_, true);
+  Write(builder.initDemands(static_cast<unsigned>(sum.demands_.size())),
+        sum.demands_);
+  auto arrivals =
+      builder.initArrivals(static_cast<unsigned>(sum.arrivals_.size()));
+  for (unsigned i = 0; i < sum.arrivals_.size(); ++i) {
+    arrivals[i].setRoute(ToText(sum.arrivals_[i].route_));
+    arrivals[i].setHostService(ToText(sum.arrivals_[i].host_service_));
+    arrivals[i].setPerSecond(static_cast<float>(sum.arrivals_[i].per_second_));
+  }
+  auto services =
+      builder.initServices(static_cast<unsigned>(sum.services_.size()));
+  for (unsigned i = 0; i < sum.services_.size(); ++i) {
+    const ServiceLoad& load = sum.services_[i];
+    services[i].setService(ToText(load.service_));
+    services[i].setSlots(static_cast<float>(load.slots_));
+    services[i].setRuns(static_cast<float>(load.runs_));
+    services[i].setRejectedSlots(static_cast<float>(load.rejected_slots_));
+  }
+}
+
+ZoneSum Read(linkwire::ZoneSum::Reader reader) {
+  ZoneSum sum;
+  sum.zone_ = ToString(reader.getZone());
+  sum.region_ = ToString(reader.getRegion());
+  sum.maker_ = ToString(reader.getMaker());
+  sum.maker_boot_ = reader.getMakerBoot();
+  sum.sequence_ = reader.getSequence();
+  sum.hosts_ = reader.getHosts();
+  sum.profiles_ = Read(reader.getProfiles());
+  sum.demands_ = Read(reader.getDemands());
+  for (const auto entry : reader.getArrivals()) {
+    sum.arrivals_.push_back({.route_ = ToString(entry.getRoute()),
+                             .host_service_ = ToString(entry.getHostService()),
+                             .per_second_ = entry.getPerSecond()});
+  }
+  for (const auto load : reader.getServices()) {
+    sum.services_.push_back({.service_ = ToString(load.getService()),
+                             .slots_ = load.getSlots(),
+                             .runs_ = load.getRuns(),
+                             .rejected_slots_ = load.getRejectedSlots()});
+  }
+  return sum;
+}
+
 void Write(linkwire::Message::Builder message, const RunOrder& order) {
   auto builder = message.initOrder();
   builder.setSendId(order.send_id_);
@@ -234,6 +309,7 @@
     builder.setText(ToData(value.text_));
   }
   void operator()(const PeersQuery&) { message_.setPeersQuery(); }
+  void operator()(const ZoneSum& value) { Write(message_, value); }
   void operator()(const PeerAddresses& value) {
     auto list =
         message_.initPeers(static_cast<unsigned>(value.addresses_.size()));
@@ -271,6 +347,8 @@
       }
       return known;
     }
+    case linkwire::Message::ZONE_SUM:
+      return Read(message.getZoneSum());
   }
   return std::nullopt;
 }
--- a/src/relaylink/tests/relaylink_tests.cc
+++ b/src/relaylink/tests/relaylink_tests.cc
@@ -30,6 +30,12 @@
                               .calls_ = {{"c", 2.0}}});
   status.demands_.push_back(
       {.route_ = "r", .priority_ = 1, .per_second_ = 2.5});
+  ZoneSum sum{.zone_ = "z", .maker_ = "10.0.0.1:7000", .hosts_ = 3};
+  sum.profiles_ = status.profiles_;
+  sum.demands_ = status.demands_;
+  sum.arrivals_.push_back(
+      {.route_ = "r", .host_service_ = "s", .per_second_ = 1.5});
+  sum.services_.push_back({.service_ = "s", .slots_ = 8, .runs_ = 5});
   RunReply reply{.send_id_ = 4,
                  .outcome_ = RunOutcome::kBroken,
                  .reason_ = NotRunReason::kRejected,
@@ -53,7 +59,8 @@
           TableQuery{.newer_than_ = 3},
           TableText{.version_ = 4, .text_ = "{}"},
           PeersQuery{},
-          PeerAddresses{.addresses_ = {"a", "b"}}};
+          PeerAddresses{.addresses_ = {"a", "b"}},
+          sum};
 }
 
 class RelaylinkTests : public CppUnit::TestFixture {
