http1: every part of a message is bounded; programs explain a wrong command line

Cause: a chunk's size or extension and a trailer without end were kept without bound, interim responses read for ever, small chunks with long extensions read as long as they came; a connection was read on for as long as bytes came, so that one sender held the loop; 64 MB could be kept for each message on hosts of 160 MB. jujubefront-demo, -prove and -slopes ended in an uncaught exception on any wrong option.

Change: bounds on framing, on interim responses, on the bytes of one turn, and on the bodies that all messages being read hold (an eighth of the host's memory in each direction: 503 with Retry-After to a client, a lost answer of that run from a backend server). Refusals are logged and counted. All programs use RunProgram.

Tests: RefusesPartsWithoutEnd, SharesTheMemoryOfMessages and, over sockets, BackendServerThatSendsWithoutEndHarmsNobodyElse fail on the codec before (chunk size); tools/check-programs fails for the three programs before.

--- a/src/http/call_messages.cc
+++ b/src/http/call_messages.cc
@@ -181,6 +181,7 @@
     case Http1Fault::kHeaderTooLarge:
       return {HeaderFault::kTooLarge, "headers"};
     case Http1Fault::kBodyTooLarge:
+    case Http1Fault::kOutOfMemory:
       return {HeaderFault::kTooLarge, "body"};
     case Http1Fault::kNone:
     case Http1Fault::kMalformed:
--- a/src/http1/http1_codec.cc
+++ b/src/http1/http1_codec.cc
@@ -15,6 +15,11 @@
 
 namespace http = boost::beast::http;
 
+// Framing that a body may come with: some parts of the largest size, and for
+// each byte what a chunk of one byte takes.
+constexpr std::size_t kFramingParts = 4;
+constexpr std::size_t kMostFramingPerByte = 16;
+
 Http1Fault FaultOf(const boost::beast::error_code& error) {
   if (error == http::error::header_limit) return Http1Fault::kHeaderTooLarge;
   if (error == http::error::body_limit) return Http1Fault::kBodyTooLarge;
@@ -43,6 +48,52 @@
   return progress;
 }
 
+// What a reader keeps of its message that counts against the shared memory.
+class HeldBytes {
+ public:
+  explicit HeldBytes(MessageMemory* memory) : memory_(memory) {}
+  HeldBytes(const HeldBytes&) = delete;
+  HeldBytes& operator=(const HeldBytes&) = delete;
+  ~HeldBytes() { Set(0); }
+
+  // False when there is too little memory; what was held before is kept.
+  bool Set(std::size_t bytes) {
+    if (memory_ == nullptr) return true;
+    const std::size_t others = memory_->used_ - held_;
+    if (bytes > held_ && others + bytes > memory_->limit_) return false;
+    memory_->used_ = others + bytes;
+    held_ = bytes;
+    return true;
+  }
+
+ private:
+  MessageMemory* memory_;
+  std::size_t held_ = 0;
+};
+
+// Checks what Beast leaves unbounded. It consumes neither a chunk's size nor
+// the trailer before it is whole, and anything else as it comes, extensions of
+// many small chunks too.
+template <typename ParserState>
+void CheckBounds(Http1Progress& progress, std::size_t size,
+                 const Http1Limits& limits, ParserState& state) {
+  if (progress.fault_ != Http1Fault::kNone) return;
+  if (!state.parser_.is_header_done()) return;
+  const std::size_t body = state.parser_.get().body().size();
+  state.consumed_ += progress.consumed_;
+  const std::size_t framing = state.consumed_ - std::min(body, state.consumed_);
+  const std::size_t kept = size - progress.consumed_;
+  const bool endless = !progress.complete_ && kept > limits.max_framing_bytes_;
+  const std::size_t most_framing = limits.max_header_bytes_ +
+                                   kFramingParts * limits.max_framing_bytes_ +
+                                   kMostFramingPerByte * body;
+  if (endless || framing > most_framing) {
+    progress.fault_ = Http1Fault::kMalformed;
+  } else if (!state.held_.Set(body)) {
+    progress.fault_ = Http1Fault::kOutOfMemory;
+  }
+}
+
 template <typename Fields>
 HeaderList HeadersOf(const Fields& fields) {
   HeaderList headers;
@@ -76,6 +127,24 @@
 
 }  // namespace
 
+std::string_view Http1FaultName(Http1Fault fault) {
+  switch (fault) {
+    case Http1Fault::kNone:
+      return "none";
+    case Http1Fault::kMalformed:
+      return "malformed";
+    case Http1Fault::kHeaderTooLarge:
+      return "header too large";
+    case Http1Fault::kBodyTooLarge:
+      return "body too large";
+    case Http1Fault::kCutOff:
+      return "cut off";
+    case Http1Fault::kOutOfMemory:
+      return "no memory for its body";
+  }
+  return "unknown";
+}
+
 const std::string* FindHeader(const HeaderList& headers,
                               std::string_view name) {
   for (const auto& [key, value] : headers) {
@@ -89,7 +158,11 @@
 }
 
 struct Http1RequestReader::Parser {
+  explicit Parser(const Http1Limits& limits) : held_(limits.memory_) {}
+
   http::request_parser<http::string_body> parser_;
+  HeldBytes held_;
+  std::size_t consumed_ = 0;  // since the header was whole, with its last part
   bool started_ = false;
 };
 
@@ -101,7 +174,8 @@
 Http1RequestReader::~Http1RequestReader() = default;
 
 Http1Progress Http1RequestReader::Read(std::string_view bytes) {
-  const Http1Progress progress = Feed(parser_->parser_, bytes);
+  Http1Progress progress = Feed(parser_->parser_, bytes);
+  CheckBounds(progress, bytes.size(), limits_, *parser_);
   // Beast consumes nothing of a header that is not whole yet.
   if (!bytes.empty()) parser_->started_ = true;
   return progress;
@@ -129,7 +203,7 @@
     request.headers_ = HeadersOf(message.base());
     request.body_ = std::move(message.body());
   }
-  parser_ = std::make_unique<Parser>();
+  parser_ = std::make_unique<Parser>(limits_);
   parser_->parser_.eager(true);
   parser_->parser_.header_limit(limits_.max_header_bytes_);
   parser_->parser_.body_limit(limits_.max_body_bytes_);
@@ -137,7 +211,11 @@
 }
 
 struct Http1ResponseReader::Parser {
+  explicit Parser(const Http1Limits& limits) : held_(limits.memory_) {}
+
   http::response_parser<http::string_body> parser_;
+  HeldBytes held_;
+  std::size_t consumed_ = 0;  // since the header was whole, with its last part
   bool started_ = false;
 };
 
@@ -154,6 +232,11 @@
   if (!bytes.empty()) parser_->started_ = true;
   // Interim responses (1xx) precede the one that counts.
   while (progress.complete_ && parser_->parser_.get().result_int() < 200) {
+    if (++interim_ > limits_.max_interim_responses_) {
+      progress.complete_ = false;
+      progress.fault_ = Http1Fault::kMalformed;
+      return progress;
+    }
     Take();
     const auto rest = bytes.substr(progress.consumed_);
     const Http1Progress next = Feed(parser_->parser_, rest);
@@ -162,6 +245,7 @@
                 .complete_ = next.complete_,
                 .fault_ = next.fault_};
   }
+  CheckBounds(progress, bytes.size(), limits_, *parser_);
   return progress;
 }
 
@@ -189,7 +273,7 @@
     response.headers_ = HeadersOf(message.base());
     response.body_ = std::move(message.body());
   }
-  parser_ = std::make_unique<Parser>();
+  parser_ = std::make_unique<Parser>(limits_);
   parser_->parser_.eager(true);
   parser_->parser_.skip(answers_head_);
   parser_->parser_.header_limit(limits_.max_header_bytes_);
--- a/src/http1/http1_codec.h
+++ b/src/http1/http1_codec.h
@@ -57,6 +57,7 @@
  private:
   struct Parser;
   Http1Limits limits_;
+  int interim_ = 0;
   bool answers_head_ = false;
   std::unique_ptr<Parser> parser_;
 };
--- a/src/http1/http1_server.cc
+++ b/src/http1/http1_server.cc
@@ -22,6 +22,8 @@
       return 431;
     case Http1Fault::kBodyTooLarge:
       return 413;
+    case Http1Fault::kOutOfMemory:
+      return 503;
     case Http1Fault::kNone:
     case Http1Fault::kMalformed:
     case Http1Fault::kCutOff:
@@ -136,11 +138,18 @@
 }
 
 void Http1Server::Refuse(Connection& connection, Http1Fault fault) {
+  if (handlers_.on_refused_) handlers_.on_refused_(fault);
   Http1Response response = options_.refusal_
                                ? options_.refusal_(fault)
                                : Http1Response{.status_ = StatusOf(fault)};
+  // Nothing has run, and there may be room again soon.
+  if (fault == Http1Fault::kOutOfMemory) {
+    response.headers_.emplace_back("Retry-After", "0.5");
+  }
   response.keep_alive_ = false;
   connection.keep_alive_ = false;
+  // Lets go of what was read.
+  connection.reader_ = std::make_unique<Http1RequestReader>(options_.limits_);
   connection.lingering_ = true;
   connection.since_ = Clock::now();
   connection.socket_->Write(WriteResponse(response, false));
--- a/src/http1/http1_server.h
+++ b/src/http1/http1_server.h
@@ -35,6 +35,8 @@
         on_request_;
     // The client left before its request was answered.
     std::function<void(std::uint64_t request_id)> on_client_gone_;
+    // Something that is no request was refused. May be empty.
+    std::function<void(Http1Fault fault)> on_refused_;
   };
 
   Http1Server(Http1ServerOptions options, Handlers handlers);
--- a/src/http1/tests/connection_tests.cc
+++ b/src/http1/tests/connection_tests.cc
@@ -88,6 +88,84 @@
   int connections_ = 0;
 };
 
+// Sends as fast as the other side takes it, until that side closes.
+class EndlessSender {
+ public:
+  EndlessSender(std::string begin, std::string piece)
+      : text_(std::move(begin)), piece_(std::move(piece)) {
+    while (piece_.size() < kPiece) piece_ += piece_;
+  }
+  ~EndlessSender() {
+    if (socket_ != nullptr && !ended_) socket_->Close();
+  }
+  EndlessSender(const EndlessSender&) = delete;
+  EndlessSender& operator=(const EndlessSender&) = delete;
+
+  void Start(TcpConnection* socket) {
+    socket_ = socket;
+    socket->SetHandlers({.on_connected_ = [this] { Write(); },
+                         .on_data_ =
+                             [this] {
+                               socket_->Consume(socket_->inbox().size());
+                               if (sent_ == 0) Write();
+                             },
+                         .on_flushed_ = [this] { Later(); },
+                         .on_end_ =
+                             [this](ConnectionEnd) {
+                               ended_ = true;
+                               socket_->Close();
+                             }});
+  }
+
+  bool ended() const { return ended_; }
+  std::size_t sent() const { return sent_; }
+
+ private:
+  static constexpr std::size_t kPiece = 64 * 1024;
+
+  void Later() {
+    QTimer::singleShot(0, &timer_, [this] { Write(); });
+  }
+  void Write() {
+    if (ended_) return;
+    const std::string& text = sent_ == 0 ? text_ : piece_;
+    sent_ += text.size();
+    socket_->Write(text);
+    if (socket_->unsent_bytes() == 0) Later();
+  }
+
+  std::string text_;
+  std::string piece_;
+  TcpConnection* socket_ = nullptr;
+  QTimer timer_;
+  bool ended_ = false;
+  std::size_t sent_ = 0;
+};
+
+struct EndlessPart {
+  const char* name_;
+  std::string begin_;
+  std::string piece_;
+};
+
+const std::vector<EndlessPart>& EndlessParts() {
+  static const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+  static const std::vector<EndlessPart> kParts = {
+      {"header", "X: ", "a"},
+      {"chunk size", kChunked, "0"},
+      {"chunk extension", kChunked + "5;x=", "a"},
+      {"chunks", kChunked, "5\r\nabcde\r\n"},
+      {"trailer", kChunked + "0\r\n", "X: a\r\n"},
+      {"body", "Content-Length: 9999999999\r\n\r\n", "a"}};
+  return kParts;
+}
+
+// Time in which any endless part is to be given up, and the longest that
+// another request may take meanwhile.
+constexpr auto kGivenUp = std::chrono::seconds(3);
+constexpr auto kUnharmed = std::chrono::milliseconds(200);
+constexpr std::size_t kMostEndlessBytes = 64 * 1024 * 1024;
+
 // An address at which nothing listens.
 std::string FreeAddress() {
   const ScriptedServer probe("", ServerEnd::kStays);
@@ -121,6 +199,8 @@
   CPPUNIT_TEST_SUITE(ConnectionTests);
   CPPUNIT_TEST(TellsWholeResponsesFromBrokenOnes);
   CPPUNIT_TEST(RefusedConnectionsSentNothing);
+  CPPUNIT_TEST(BackendServerThatSendsWithoutEndHarmsNobodyElse);
+  CPPUNIT_TEST(ClientThatSendsWithoutEndHarmsNobodyElse);
   CPPUNIT_TEST(ServerAnswersRequestsSentAheadInOrder);
   CPPUNIT_TEST(SlowReadersTakeBoundedMemory);
   CPPUNIT_TEST(ConnectionsAreBounded);
@@ -219,6 +299,75 @@
     }
   }
 
+  void BackendServerThatSendsWithoutEndHarmsNobodyElse() {
+    EnsureApplication();
+    std::vector<EndlessPart> parts = EndlessParts();
+    parts.push_back({"body without a length", "\r\n", "a"});
+    for (const EndlessPart& part : parts) {
+      EndlessSender sender("HTTP/1.1 200 OK\r\n" + part.begin_, part.piece_);
+      TcpListener listener({}, [&](TcpConnection* s) { sender.Start(s); });
+      listener.Listen(kAddress);
+      std::optional<Http1Failure> failure;
+      Http1Client client(
+          {.limits_ = {.max_body_bytes_ = 8 * 1024 * 1024}},
+          {.on_response_ = [](std::uint64_t, Http1Response) {},
+           .on_failure_ = [&](std::uint64_t,
+                              Http1Failure how) { failure = how; }});
+      client.SetAddress("127.0.0.1:" + std::to_string(listener.serverPort()));
+      client.Send(1, {.method_ = "GET", .target_ = "/"});
+      CheckOthersUnharmed(part.name_,
+                          [&] { return failure && sender.ended(); });
+      CPPUNIT_ASSERT_MESSAGE(part.name_, *failure == Http1Failure::kMalformed);
+      CPPUNIT_ASSERT_MESSAGE(part.name_, sender.sent() < kMostEndlessBytes);
+    }
+  }
+
+  void ClientThatSendsWithoutEndHarmsNobodyElse() {
+    EnsureApplication();
+    for (const EndlessPart& part : EndlessParts()) {
+      int requests = 0;
+      Http1Server server(
+          {.limits_ = {.max_body_bytes_ = 8 * 1024 * 1024}},
+          {.on_request_ = [&](std::uint64_t, Http1Request) { ++requests; },
+           .on_client_gone_ = [](std::uint64_t) {}});
+      server.Listen(kAddress);
+      EndlessSender sender("POST / HTTP/1.1\r\nHost: h\r\n" + part.begin_,
+                           part.piece_);
+      sender.Start(TcpConnection::Open(
+          "127.0.0.1:" + std::to_string(server.port()), {}));
+      CheckOthersUnharmed(part.name_,
+                          [&] { return server.connections() == 0; });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(part.name_, 0, requests);
+    }
+  }
+
+  // Calls to a sound server while something else goes on, until it ends.
+  void CheckOthersUnharmed(const char* name,
+                           const std::function<bool()>& ended) {
+    Http1Server sound({}, {.on_request_ =
+                               [&](std::uint64_t id, Http1Request) {
+                                 sound.Answer(id, {.status_ = 200});
+                               },
+                           .on_client_gone_ = [](std::uint64_t) {}});
+    sound.Listen(kAddress);
+    int answered = 0;
+    Http1Client client(
+        {}, {.on_response_ = [&](std::uint64_t, Http1Response) { ++answered; },
+             .on_failure_ = [](std::uint64_t, Http1Failure) {}});
+    client.SetAddress("127.0.0.1:" + std::to_string(sound.port()));
+    const QDeadlineTimer end(kGivenUp + std::chrono::seconds(3));
+    for (int calls = 1; !ended(); ++calls) {
+      CPPUNIT_ASSERT_MESSAGE(name, !end.hasExpired());
+      const auto start = std::chrono::steady_clock::now();
+      client.Send(static_cast<std::uint64_t>(calls),
+                  {.method_ = "GET", .target_ = "/"});
+      CPPUNIT_ASSERT_MESSAGE(
+          name, PassUntil([&] { return answered == calls; }, kGivenUp));
+      CPPUNIT_ASSERT_MESSAGE(
+          name, std::chrono::steady_clock::now() - start < kUnharmed);
+    }
+  }
+
   void RefusedConnectionsSentNothing() {
     EnsureApplication();
     const std::string address = FreeAddress();
--- a/src/http1/tests/http1_tests.cc
+++ b/src/http1/tests/http1_tests.cc
@@ -1,5 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
+#include <vector>
+
 #include "http1/http1_codec.h"
 
 namespace jujubefront {
@@ -7,6 +10,28 @@
 
 constexpr Http1Limits kLimits{.max_header_bytes_ = 512, .max_body_bytes_ = 64};
 
+// Feeds pieces as a connection does, which keeps what is not consumed.
+template <typename Reader>
+void CheckRefused(const char* name, Reader reader, std::string begin,
+                  const std::string& endless, std::size_t most) {
+  constexpr std::size_t kPiece = 64 * 1024;
+  constexpr std::size_t kMostKept = 256 * 1024;
+  std::string inbox = std::move(begin);
+  std::size_t fed = inbox.size();
+  while (true) {
+    const Http1Progress progress = reader.Read(inbox);
+    inbox.erase(0, progress.consumed_);
+    if (progress.fault_ != Http1Fault::kNone) return;
+    CPPUNIT_ASSERT_MESSAGE(name, !progress.complete_);
+    CPPUNIT_ASSERT_MESSAGE(name, inbox.size() <= kMostKept);
+    CPPUNIT_ASSERT_MESSAGE(name, fed < most);
+    std::string piece;
+    while (piece.size() < kPiece) piece += endless;
+    fed += piece.size();
+    inbox += piece;
+  }
+}
+
 class Http1Tests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(Http1Tests);
   CPPUNIT_TEST(ReadsRequests);
@@ -15,6 +40,8 @@
   CPPUNIT_TEST(KeepsWhatFollowsAMessage);
   CPPUNIT_TEST(RemovesHeadersOfOneConnection);
   CPPUNIT_TEST(WritesWhatItReads);
+  CPPUNIT_TEST(RefusesPartsWithoutEnd);
+  CPPUNIT_TEST(SharesTheMemoryOfMessages);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -146,6 +173,77 @@
     CPPUNIT_ASSERT(expected == headers);
   }
 
+  // Bytes without end in any part of a message: refused before much of them is
+  // kept, whether or not the reader consumes them.
+  void RefusesPartsWithoutEnd() {
+    struct Row {
+      const char* name_;
+      std::string begin_;
+      std::string endless_;
+      bool in_requests_;
+    };
+    const std::string head = "Transfer-Encoding: chunked\r\n\r\n";
+    const Row rows[] = {
+        {"header field", "X: ", "a", true},
+        {"header fields", "", "X: a\r\n", true},
+        {"chunk size", head, "0", true},
+        {"chunk extension", head + "5;x=", "a", true},
+        {"chunks", head, "5\r\nabcde\r\n", true},
+        {"small chunks with long extensions", head,
+         "1;x=" + std::string(2000, 'a') + "\r\nb\r\n", true},
+        {"trailer field", head + "0\r\nX: ", "a", true},
+        {"trailer fields", head + "0\r\n", "X: a\r\n", true},
+        {"body of a given length", "Content-Length: 99999999999\r\n\r\n", "a",
+         true},
+        {"body without a length", "\r\n", "a", false},
+        {"interim responses", "\r\n", "HTTP/1.1 100 Continue\r\n\r\n", false},
+        {"interim responses with fields", "\r\n",
+         "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n", false},
+    };
+    constexpr std::size_t kMostBytes = 8 * 1024 * 1024;
+    const Http1Limits limits{.max_body_bytes_ = 1024 * 1024};
+    for (const Row& row : rows) {
+      const bool interim = row.endless_.starts_with("HTTP");
+      const std::string status =
+          interim ? "HTTP/1.1 100 Continue\r\n" : "HTTP/1.1 200 OK\r\n";
+      CheckRefused(row.name_, Http1ResponseReader(limits, false),
+                   status + row.begin_, row.endless_, kMostBytes);
+      if (!row.in_requests_) continue;
+      CheckRefused(row.name_, Http1RequestReader(limits),
+                   "POST / HTTP/1.1\r\nHost: h\r\n" + row.begin_, row.endless_,
+                   kMostBytes);
+    }
+  }
+
+  // All messages that are being read share what a process has for them.
+  void SharesTheMemoryOfMessages() {
+    struct Row {
+      const char* name_;
+      std::size_t readers_;
+      std::size_t body_;
+      std::size_t refused_;
+    };
+    const Row rows[] = {{"few", 4, 100'000, 0}, {"too many", 20, 100'000, 10}};
+    for (const Row& row : rows) {
+      MessageMemory memory{.limit_ = 1'000'000};
+      Http1Limits limits;
+      limits.memory_ = &memory;
+      std::vector<std::unique_ptr<Http1ResponseReader>> readers;
+      std::size_t refused = 0;
+      for (std::size_t i = 0; i < row.readers_; ++i) {
+        readers.push_back(std::make_unique<Http1ResponseReader>(limits, false));
+        const auto progress = readers.back()->Read(
+            "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+            std::string(row.body_, 'a'));
+        if (progress.fault_ == Http1Fault::kOutOfMemory) ++refused;
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.refused_, refused);
+      CPPUNIT_ASSERT(memory.used_ <= memory.limit_);
+      readers.clear();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, memory.used_);
+    }
+  }
+
   void WritesWhatItReads() {
     const Http1Request request{.method_ = "POST",
                                .target_ = "/a/?x=%20",
--- a/src/netio/tcp_connection.cc
+++ b/src/netio/tcp_connection.cc
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr std::size_t kReadChunk = 64 * 1024;
+// Bytes read before other connections get their turn: a fast sender must not
+// hold the event loop, nor grow the inbox while nobody looks at it.
+constexpr std::size_t kMaxReadPerTurn = 256 * 1024;
 // Consumed bytes are dropped from a buffer once this many have gathered.
 constexpr std::size_t kCompactAt = 64 * 1024;
 
@@ -194,11 +197,12 @@
   if (ended_ || descriptor_ < 0) return;
   static std::array<char, kReadChunk> chunk;
   bool received = false;
-  while (true) {
+  for (std::size_t total = 0; total < kMaxReadPerTurn;) {
     const ssize_t count = ::recv(descriptor_, chunk.data(), chunk.size(), 0);
     if (count > 0) {
       inbox_.append(chunk.data(), static_cast<std::size_t>(count));
       received = true;
+      total += static_cast<std::size_t>(count);
       if (static_cast<std::size_t>(count) < chunk.size()) break;
       continue;
     }
--- a/src/relay/internal/zone_sums.cc
+++ b/src/relay/internal/zone_sums.cc
@@ -92,9 +92,8 @@
 bool Reports(const RelayStep& step, const Peer& peer) {
   if (IsOwn(step, peer)) return true;
   return peer.known_ && peer.connected_ && !peer.suspected_ &&
-         step.now_ - peer.status_at_ <=
-             step.options_.zone_status_interval_ * kIdleFactor *
-                 kMissedStatuses;
+         step.now_ - peer.status_at_ <= step.options_.zone_status_interval_ *
+                                            kIdleFactor * kMissedStatuses;
 }
 
 RegionView ViewOwnZone(const RelayStep& step) {
@@ -165,6 +164,7 @@
     const Peer& first = *hosts.front();
     if (first.status_.region_ != step.options_.region_) continue;
     const Peer& receiver = *hosts[std::min(turn, hosts.size() - 1)];
+    ++step.state_.counters_.zone_sums_sent_;
     step.effects_.emplace_back(
         SendToPeer{.peer_ = receiver.address_, .message_ = sum});
   }
@@ -191,12 +191,11 @@
   }
   for (auto& [zone, hosts] : zones) {
     const std::size_t kept = std::min(count, hosts.size());
-    std::partial_sort(hosts.begin(),
-                      hosts.begin() + static_cast<std::ptrdiff_t>(kept),
-                      hosts.end(), [&](const Peer* a, const Peer* b) {
-                        return RankIn(zone, a->address_) <
-                               RankIn(zone, b->address_);
-                      });
+    std::partial_sort(
+        hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(kept),
+        hosts.end(), [&](const Peer* a, const Peer* b) {
+          return RankIn(zone, a->address_) < RankIn(zone, b->address_);
+        });
     hosts.resize(kept);
   }
   return zones;
@@ -231,6 +230,7 @@
   for (const auto& [address, peer] : state.peers_) {
     if (IsOwn(step, peer) || !peer.connected_) continue;
     if (peer.status_.zone_ != step.options_.zone_) continue;
+    ++state.counters_.zone_sums_sent_;
     step.effects_.emplace_back(
         SendToPeer{.peer_ = address, .message_ = known.sum_});
   }
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -110,6 +110,7 @@
   void operator()(NodeAnnounced&) const { OnNodeAnnounced(step_); }
   void operator()(StoreFailed& e) const { OnStoreFailed(step_, e); }
   void operator()(InputUnreadable& e) const {
+    ++step_.state_.counters_.inputs_unreadable_;
     step_.effects_.emplace_back(
         Decision{.kind_ = DecisionKind::kInputUnreadable,
                  .trace_id_ = {},
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -279,6 +279,8 @@
   std::uint64_t store_calls_ = 0;
   std::uint64_t store_failures_ = 0;
   std::uint64_t statuses_sent_ = 0;
+  std::uint64_t zone_sums_sent_ = 0;
+  std::uint64_t inputs_unreadable_ = 0;
 };
 
 // The whole state of a relay.
--- a/src/relay/tests/zone_sum_tests.cc
+++ b/src/relay/tests/zone_sum_tests.cc
@@ -34,9 +34,8 @@
 }
 
 void Hear(RelayBench& bench, const HostStatus& status, int number) {
-  bench.Feed(
-      LinkReceived{.connection_id_ = static_cast<std::uint64_t>(number),
-                   .message_ = status});
+  bench.Feed(LinkReceived{.connection_id_ = static_cast<std::uint64_t>(number),
+                          .message_ = status});
 }
 
 void AddHost(RelayBench& bench, int number, const char* zone) {
@@ -120,8 +119,7 @@
         {"all live", std::nullopt, 0, 4, 12},
         {"one lost", PeerDisconnected{AddressOf(2)}, 2, 3, 8},
         {"one silent", std::nullopt, 2, 3, 8},
-        {"one reports once more",
-         LinkReceived{.connection_id_ = 2}, 0, 4, 12},
+        {"one reports once more", LinkReceived{.connection_id_ = 2}, 0, 4, 12},
     };
     for (const Row& row : rows) {
       Zones zones(3, First());
@@ -205,8 +203,7 @@
     for (const Row& row : rows) {
       Zones zones(2);
       for (const ZoneSum& sum : {OtherSum("a", 5, 12), row.second_}) {
-        zones.bench_.Feed(
-            LinkReceived{.connection_id_ = 11, .message_ = sum});
+        zones.bench_.Feed(LinkReceived{.connection_id_ = 11, .message_ = sum});
       }
       const auto& known = zones.bench_.state().zone_sums_;
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::size_t{1}, known.size());
@@ -221,15 +218,15 @@
   void OldSumsAreLeftOut() {
     Zones zones(2);
     RelayBench& bench = zones.bench_;
-    bench.Feed(LinkReceived{.connection_id_ = 11,
-                            .message_ = OtherSum("a", 1, 12)});
+    bench.Feed(
+        LinkReceived{.connection_id_ = 11, .message_ = OtherSum("a", 1, 12)});
     bench.Pass(std::chrono::seconds(3));
     CPPUNIT_ASSERT(bench.state().zone_sums_.contains(kOtherZone));
     bench.Pass(std::chrono::seconds(2));
     CPPUNIT_ASSERT(!bench.state().zone_sums_.contains(kOtherZone));
     // A late one of the same maker counts again.
-    bench.Feed(LinkReceived{.connection_id_ = 11,
-                            .message_ = OtherSum("a", 2, 12)});
+    bench.Feed(
+        LinkReceived{.connection_id_ = 11, .message_ = OtherSum("a", 2, 12)});
     CPPUNIT_ASSERT(bench.state().zone_sums_.contains(kOtherZone));
   }
 
@@ -353,8 +350,8 @@
       // The store answers the wait that is open, if one is.
       if (bench.state().store_.waiting_) {
         ++version;
-        bench.Feed(TableRead{.table_ = RelayBench::Table(version),
-                             .text_ = "text"});
+        bench.Feed(
+            TableRead{.table_ = RelayBench::Table(version), .text_ = "text"});
         bench.Feed(TableOffset{.next_ = version});
       }
       waits += bench.Take<AwaitTable>().size();
@@ -364,8 +361,8 @@
     CPPUNIT_ASSERT(waits >= 6);
     CPPUNIT_ASSERT(waits <= 12);
     bench.Pass(std::chrono::seconds(5));
-    bench.Feed(TableRead{.table_ = RelayBench::Table(version + 1),
-                         .text_ = "text"});
+    bench.Feed(
+        TableRead{.table_ = RelayBench::Table(version + 1), .text_ = "text"});
     bench.Feed(TableOffset{.next_ = version + 1});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.Take<AwaitTable>().size());
   }
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -73,6 +73,8 @@
   Counter(text, "store_calls", counters.store_calls_);
   Counter(text, "store_failures", counters.store_failures_);
   Counter(text, "statuses_sent", counters.statuses_sent_);
+  Counter(text, "zone_sums_sent", counters.zone_sums_sent_);
+  Counter(text, "inputs_unreadable", counters.inputs_unreadable_);
   Gauge(text, "running", state.running_);
   Gauge(text, "waiting", static_cast<double>(state.waiting_.runs_.size()));
   Gauge(text, "rejected_share", state.arrivals_.rejected_share_);
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -80,14 +80,24 @@
       dialect_(std::move(dialect)),
       on_exit_(std::move(on_exit)),
       log_(options_.log_),
+      client_memory_{.limit_ = options_.message_bytes_},
+      backend_memory_{.limit_ = options_.message_bytes_},
       clients_(ServerOptions({}),
                {.on_request_ =
                     [this](std::uint64_t id, Http1Request request) {
                       OnRequest(id, std::move(request));
                     },
                 .on_client_gone_ =
-                    [this](std::uint64_t id) { Feed(RequesterGone{id}); }}),
-      backend_({.correlation_header_ = dialect_.correlation_header_},
+                    [this](std::uint64_t id) { Feed(RequesterGone{id}); },
+                .on_refused_ =
+                    [this](Http1Fault fault) {
+                      Feed(InputUnreadable{
+                          .source_ = "request",
+                          .detail_ = std::string(Http1FaultName(fault))});
+                    }}),
+      backend_({.limits_ = {.max_body_bytes_ = options_.message_bytes_,
+                            .memory_ = &backend_memory_},
+                .correlation_header_ = dialect_.correlation_header_},
                {.on_response_ =
                     [this](std::uint64_t run_id, Http1Response response) {
                       OnBackendResponse(run_id, std::move(response));
@@ -153,9 +163,10 @@
   wake_.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
 }
 
-Http1ServerOptions RelayShell::ServerOptions(const ClientLimits& limits) const {
+Http1ServerOptions RelayShell::ServerOptions(const ClientLimits& limits) {
   return {.limits_ = {.max_header_bytes_ = limits.max_header_bytes_,
-                      .max_body_bytes_ = limits.max_body_bytes_},
+                      .max_body_bytes_ = limits.max_body_bytes_,
+                      .memory_ = &client_memory_},
           .header_timeout_ = limits.header_timeout_,
           .idle_timeout_ = limits.idle_timeout_,
           .max_connections_ = options_.max_client_connections_,
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -67,6 +67,9 @@
   std::string link_address_;
   std::string client_address_;  // where requests arrive
   std::size_t max_client_connections_ = 2500;
+  // Bytes of message bodies that are being read, of clients and of the backend
+  // server, each.
+  std::size_t message_bytes_ = 64 * 1024 * 1024;
   SilenceOptions link_silence_;
   SilenceOptions client_silence_;
   DecisionLogOptions log_;
@@ -100,7 +103,7 @@
   void ArmWake();
   void OnRequest(std::uint64_t id, Http1Request request);
   void OnBackendResponse(std::uint64_t run_id, Http1Response response);
-  Http1ServerOptions ServerOptions(const ClientLimits& limits) const;
+  Http1ServerOptions ServerOptions(const ClientLimits& limits);
   PeerLinks::Handlers LinkHandlers();
   void FeedTable(const TableText& text);
 
@@ -114,6 +117,8 @@
   bool ready_ = false;
   DecisionLog log_;
   RelayMetrics metrics_;
+  MessageMemory client_memory_;
+  MessageMemory backend_memory_;
   Http1Server clients_;
   Http1Client backend_;
   PeerLinks links_;
--- a/standins/demo/main.cc
+++ b/standins/demo/main.cc
@@ -5,11 +5,11 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <csignal>
-#include <cxxopts.hpp>
 #include <iostream>
 #include <map>
 
 #include "cluster.h"
+#include "commandline/program.h"
 #include "netio/application.h"
 #include "operations/tables.h"
 
@@ -100,11 +100,7 @@
   return 1;
 }
 
-int Main(int argc, char** argv) {
-  const auto application = MakeApplication(argc, argv);
-  cxxopts::Options options("jujubefront-demo", "Small system of processes");
-  options.add_options()("keep", "leave the system up until Enter is pressed");
-  const auto arguments = options.parse(argc, argv);
+int Run(const cxxopts::ParseResult& arguments) {
   Cluster cluster;
   if (!cluster.StartLog()) return Fail("the shared log did not start");
   for (const HostSpec& host : SmallBrolga()) {
@@ -130,4 +126,16 @@
 }  // namespace
 }  // namespace jujubefront
 
-int main(int argc, char** argv) { return jujubefront::Main(argc, argv); }
+int main(int argc, char** argv) {
+  const auto application = jujubefront::MakeApplication(argc, argv);
+  return jujubefront::RunProgram(
+      {.name_ = "jujubefront-demo",
+       .description_ = "Small system of processes",
+       .add_options_ =
+           [](cxxopts::Options& options) {
+             options.add_options()(
+                 "keep", "leave the system up until Enter is pressed");
+           },
+       .run_ = jujubefront::Run},
+      argc, argv);
+}
--- a/standins/prove/main.cc
+++ b/standins/prove/main.cc
@@ -1,9 +1,9 @@
 // Runs real processes under faults drawn from seeds and judges the journals.
 
 #include <QCoreApplication>
-#include <cxxopts.hpp>
 #include <iostream>
 
+#include "commandline/program.h"
 #include "fault_run.h"
 #include "netio/application.h"
 
@@ -41,16 +41,7 @@
   return hosts;
 }
 
-int Main(int argc, char** argv) {
-  const auto application = MakeApplication(argc, argv);
-  cxxopts::Options options("jujubefront-prove",
-                           "Real processes under faults; exit code 0 only "
-                           "without violations.");
-  options.add_options()("seed", "first seed",
-                        cxxopts::value<std::uint64_t>()->default_value("1"))(
-      "runs", "number of seeds", cxxopts::value<int>()->default_value("3"))(
-      "seconds", "length of a run", cxxopts::value<int>()->default_value("20"));
-  const auto arguments = options.parse(argc, argv);
+int Run(const cxxopts::ParseResult& arguments) {
   const auto first = arguments["seed"].as<std::uint64_t>();
   const auto runs = static_cast<std::uint64_t>(arguments["runs"].as<int>());
   bool clean = true;
@@ -72,4 +63,22 @@
 }  // namespace
 }  // namespace jujubefront
 
-int main(int argc, char** argv) { return jujubefront::Main(argc, argv); }
+int main(int argc, char** argv) {
+  const auto application = jujubefront::MakeApplication(argc, argv);
+  return jujubefront::RunProgram(
+      {.name_ = "jujubefront-prove",
+       .description_ = "Real processes under faults; exit code 0 only without "
+                       "violations.",
+       .add_options_ =
+           [](cxxopts::Options& options) {
+             options.add_options()(
+                 "seed", "first seed",
+                 cxxopts::value<std::uint64_t>()->default_value("1"))(
+                 "runs", "number of seeds",
+                 cxxopts::value<int>()->default_value("3"))(
+                 "seconds", "length of a run",
+                 cxxopts::value<int>()->default_value("20"));
+           },
+       .run_ = jujubefront::Run},
+      argc, argv);
+}
