Silence: avoided soon, given up late; who is cut off says so

Cause: one bound of 900 ms served two beliefs, that a host gets nothing new and that what waits for it is given up; each entry learned of each silent host by its own lost requests; a host that was itself cut off went on sending into silence; a process that had stood still took everybody for silent, gave idempotent work up and sent it again, though the answers lay in its sockets.

Change: a silent host with requests in flight is pinged after 120 ms and avoided after 250 ms and two pings, round trips on top; it is given up as before after 900 ms. Two silences within half a second have all peers pinged. An avoided host is pinged until it answers, gets new requests only where no other is left, and none where most hosts of the own zone and of all are silent: then the own node is cut off, is not ready, and refuses at once what it has not sent. An own pause is added to what was last heard. Counters of hosts avoided and suspected; lines peers_lost and peers_back.

Tests SilenceIsAvoidedLongBeforeItIsGivenUp and FewRequestsGoIntoSilence fail with one bound for both.

--- a/src/relay/internal/host_choice.cc
+++ b/src/relay/internal/host_choice.cc
@@ -62,12 +62,16 @@
                       .noted_at_ = step.now_};
 }
 
-std::vector<Place> PlacesFor(RelayStep& step, const OpenRequest& request) {
+namespace {
+
+std::vector<Place> PlacesAmong(RelayStep& step, const OpenRequest& request,
+                               bool with_avoided) {
   std::vector<Place> places;
   const auto hosts = step.state_.hosts_of_service_.find(request.service_);
   if (hosts == step.state_.hosts_of_service_.end()) return places;
   for (const auto& [address, host] : hosts->second) {
     const Peer& peer = *host;
+    if (peer.avoided_ && !with_avoided) continue;
     if (!TakesRuns(step, peer, request)) continue;
     const HostStatus& status = peer.status_;
     const auto reported =
@@ -85,4 +89,14 @@
   return places;
 }
 
+}  // namespace
+
+// A silent host is passed over only as long as another one is left, or when all
+// are silent since this node is cut off: what goes nowhere has not run.
+std::vector<Place> PlacesFor(RelayStep& step, const OpenRequest& request) {
+  std::vector<Place> places = PlacesAmong(step, request, false);
+  if (!places.empty() || step.state_.cut_off_) return places;
+  return PlacesAmong(step, request, true);
+}
+
 }  // namespace jujubefront
--- a/src/relay/internal/planned_stop.cc
+++ b/src/relay/internal/planned_stop.cc
@@ -10,7 +10,8 @@
 
 void UpdateReady(RelayStep& step) {
   RelayState& state = step.state_;
-  const bool ready = state.table_.version_ != 0 && !state.stopping_;
+  const bool ready =
+      state.table_.version_ != 0 && !state.stopping_ && !state.cut_off_;
   if (ready == state.ready_) return;
   state.ready_ = ready;
   step.effects_.emplace_back(SetReady{.ready_ = ready});
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -87,6 +87,9 @@
 // Tells those peers whose document is older that pass it on: the own zone, and
 // the first hosts of the others.
 void BroadcastTableVersion(RelayStep& step, bool from_peer);
+// This node has not run for so long: what it did not hear meanwhile says
+// nothing about others.
+void ForgiveOwnPause(RelayStep& step, Duration pause);
 void TickPeers(RelayStep& step);
 Distance DistanceTo(const RelayOptions& options, const HostStatus& status);
 void NoteHeard(Peer& peer, Timestamp now);
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -8,7 +8,16 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
+// What arrived during a pause of this process is read after the timers.
+void NoteOwnPause(RelayStep& step) {
+  Timestamp& last = step.state_.last_tick_at_;
+  const Duration late = step.now_ - last - kTickInterval;
+  if (last != Timestamp{} && late > kTickInterval) ForgiveOwnPause(step, late);
+  last = step.now_;
+}
+
 void OnTick(RelayStep& step) {
+  NoteOwnPause(step);
   CheckBackendSilence(step);
   TickPeers(step);
   TickStore(step);
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -107,6 +107,8 @@
   kRunBroken,
   kBackendChanged,
   kPeerChanged,
+  kPeersLost,  // most peers are silent
+  kPeersBack,
   kTableChanged,
   kStoreLost,
   kStoreBack,
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -69,9 +69,14 @@
   Duration load_window_ = std::chrono::milliseconds(1000);
   Duration reconnect_interval_ = std::chrono::milliseconds(500);
   Duration max_reconnect_interval_ = std::chrono::seconds(4);
-  // Silence of a peer with requests in flight after which it is pinged, after
-  // which it is passed over, and after which its connection is opened anew.
-  Duration ping_after_ = std::chrono::milliseconds(300);
+  // Silence of a peer with requests in flight after which it is pinged; after
+  // which new requests go elsewhere if they can; after which those that wait
+  // for it are given up and sent elsewhere, where they may be repeated; and
+  // after which its connection is opened anew. Round trips come on top of the
+  // first two. To avoid a peer costs little and ends with its first word; a
+  // busy host may pause for some tenths of a second.
+  Duration ping_after_ = std::chrono::milliseconds(120);
+  Duration avoid_after_ = std::chrono::milliseconds(250);
   Duration suspect_after_ = std::chrono::milliseconds(900);
   Duration reopen_after_ = std::chrono::milliseconds(2500);
   // Peers that stay unreachable for longer are forgotten.
@@ -184,8 +189,13 @@
   Timestamp unreachable_since_;
   Timestamp last_heard_;  // on the own connection
   Timestamp pinged_at_;
-  bool suspected_ = false;
-  std::uint32_t in_flight_ = 0;   // run orders of ours
+  int pings_ = 0;  // since it was last heard
+  Timestamp connecting_since_;
+  Duration round_trip_ = Duration::zero();  // time that connecting took
+  bool probed_ = false;                     // pinged as others fell silent
+  bool avoided_ = false;         // gets new requests only where nobody else can
+  bool suspected_ = false;       // what waits for it is given up
+  std::uint32_t in_flight_ = 0;  // run orders of ours
   std::uint32_t sent_since_ = 0;  // run orders after the last load report
   Timestamp status_sent_at_;
   std::map<std::string, Duration> holds_;  // measured, by route
@@ -280,6 +290,8 @@
   std::uint64_t store_failures_ = 0;
   std::uint64_t statuses_sent_ = 0;
   std::uint64_t zone_sums_sent_ = 0;
+  std::uint64_t peers_avoided_ = 0;
+  std::uint64_t peers_suspected_ = 0;
   std::uint64_t inputs_unreadable_ = 0;
 };
 
@@ -311,6 +323,10 @@
   std::map<std::string, std::map<std::string, Peer*>> hosts_of_service_;
   std::map<std::string, KnownZoneSum> zone_sums_;  // of other zones
   std::uint64_t zone_sum_sequence_ = 0;
+  Timestamp last_tick_at_;
+  Timestamp avoided_at_;  // a peer
+  Timestamp probed_at_;   // all peers
+  bool cut_off_ = false;  // most peers, of the own zone too, are silent
   Timestamp pressed_at_;  // own backend server had hardly a free slot
   Timestamp table_asked_at_;
   Timestamp peers_asked_at_;
--- a/src/relay/tests/entry_tests.cc
+++ b/src/relay/tests/entry_tests.cc
@@ -30,8 +30,8 @@
     return std::move(orders.front());
   }
 
-  void Answer(const std::string& peer, RunReply reply) {
-    bench_.Feed(LinkReceived{.peer_ = peer, .message_ = std::move(reply)});
+  void Answer(const std::string& peer, LinkMessage message) {
+    bench_.Feed(LinkReceived{.peer_ = peer, .message_ = std::move(message)});
   }
 
   RelayBench bench_;
@@ -47,6 +47,10 @@
   CPPUNIT_TEST(ClientThatLeavesCancelsTheRun);
   CPPUNIT_TEST(FirstRequestAfterAPauseMeetsNoSilentPeer);
   CPPUNIT_TEST(SilentPeerIsPassedOver);
+  CPPUNIT_TEST(SilenceIsAvoidedLongBeforeItIsGivenUp);
+  CPPUNIT_TEST(FewRequestsGoIntoSilence);
+  CPPUNIT_TEST(OwnPauseIsNobodysSilence);
+  CPPUNIT_TEST(WhoIsCutOffSendsNothingIntoSilence);
   CPPUNIT_TEST(UnroutedRequests);
   CPPUNIT_TEST(RetriesStayWithinTheAllowance);
   CPPUNIT_TEST_SUITE_END();
@@ -237,6 +241,168 @@
     }
   }
 
+  // Two beliefs: a silent host gets nothing new soon, what waits for it is
+  // given up late, and never the last host of a service.
+  void SilenceIsAvoidedLongBeforeItIsGivenUp() {
+    struct Row {
+      const char* name_;
+      Duration silent_;
+      bool answers_pings_;  // a slow run, or a pause shorter than a ping
+      bool other_host_;
+      bool avoided_;
+      bool suspected_;
+    };
+    using std::chrono::milliseconds;
+    const Row rows[] = {
+        {"pause of a busy host", milliseconds(200), false, true, false, false},
+        {"silent", milliseconds(400), false, true, true, false},
+        {"long silent", milliseconds(950), false, true, true, true},
+        {"slow run", milliseconds(950), true, true, false, false},
+        {"last host of the service", milliseconds(400), false, false, true,
+         false},
+    };
+    for (const Row& row : rows) {
+      Entry entry;
+      RelayBench& bench = entry.bench_;
+      bench.Request(1, "/book/1", milliseconds(999));
+      const std::string silent = bench.TakeOrders().at(0).first;
+      const std::string other = silent == kFirst ? kSecond : kFirst;
+      if (!row.other_host_) bench.Feed(PeerDisconnected{other});
+      bench.TakeOrders();
+      const Timestamp end = bench.now() + row.silent_;
+      while (bench.now() < end) {
+        bench.Pass(milliseconds(10));
+        for (const SendToPeer& sent : bench.Take<SendToPeer>()) {
+          if (!std::holds_alternative<PeerPing>(sent.message_)) continue;
+          if (row.answers_pings_) entry.Answer(sent.peer_, PeerPong{});
+        }
+      }
+      const Peer& peer = bench.state().peers_.at(silent);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.avoided_, peer.avoided_);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.suspected_, peer.suspected_);
+      // The booking still waits for its answer.
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, 0, bench.TakeStatus());
+      bench.Request(2, "/book/1");
+      const auto orders = bench.TakeOrders();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::size_t{1}, orders.size());
+      if (row.avoided_) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            row.name_, row.other_host_ ? other : silent, orders.front().first);
+      }
+      // Its first word ends it.
+      entry.Answer(silent, PeerPong{});
+      CPPUNIT_ASSERT_MESSAGE(row.name_, !peer.avoided_ && !peer.suspected_);
+    }
+  }
+
+  // Load pattern: one of two hosts is cut off without a word, at forty requests
+  // a second. Requests go there until it is avoided, and not again while it
+  // stays silent.
+  void FewRequestsGoIntoSilence() {
+    Entry entry;
+    RelayBench& bench = entry.bench_;
+    int into_silence = 0;
+    for (std::uint64_t id = 1; id <= 80; ++id) {
+      bench.Request(id, "/read/1");
+      for (const auto& [peer, order] : bench.TakeOrders()) {
+        if (peer == kFirst) {
+          ++into_silence;
+          continue;
+        }
+        RunReply reply = Reply(order.send_id_, RunOutcome::kAnswered,
+                               NotRunReason::kNone, 200);
+        entry.Answer(peer, reply);
+      }
+      bench.Pass(std::chrono::milliseconds(30));
+    }
+    CPPUNIT_ASSERT(into_silence > 0);
+    // Those of a third of a second, both hosts alike.
+    CPPUNIT_ASSERT(into_silence <= 8);
+  }
+
+  // This process stood still: answers that arrived meanwhile are read after
+  // its timers, and nobody has been silent.
+  void OwnPauseIsNobodysSilence() {
+    for (const char* target : {"/read/1", "/book/1"}) {
+      Entry entry;
+      RelayBench& bench = entry.bench_;
+      bench.Pass(std::chrono::milliseconds(200));
+      bench.Request(1, target, std::chrono::milliseconds(999));
+      const auto orders = bench.TakeOrders();
+      bench.Jump(std::chrono::milliseconds(950));
+      bench.Feed(RelayTimeReached{});
+      CPPUNIT_ASSERT(bench.TakeOrders().empty());
+      CPPUNIT_ASSERT_EQUAL(0, bench.TakeStatus());
+      entry.Answer(orders.at(0).first,
+                   Reply(orders.at(0).second.send_id_, RunOutcome::kAnswered,
+                         NotRunReason::kNone, 200));
+      CPPUNIT_ASSERT_EQUAL(200, bench.TakeStatus());
+    }
+  }
+
+  // Load pattern: hosts of the zone are cut off together, or this one is. Two
+  // silences have all others probed. A node that hears nobody refuses at once
+  // what it has not sent, and is not ready until somebody answers.
+  void WhoIsCutOffSendsNothingIntoSilence() {
+    struct Row {
+      const char* name_;
+      int silent_;  // of eight hosts
+      bool ready_;
+      bool refused_;
+    };
+    const Row rows[] = {{"one silent", 1, true, false},
+                        {"three silent", 3, true, false},
+                        {"all silent", 8, false, true}};
+    using std::chrono::milliseconds;
+    for (const Row& row : rows) {
+      RelayBench bench;
+      bench.LearnTable();
+      const auto address = [](int host) {
+        return "10.0.0." + std::to_string(host + 10) + ":7000";
+      };
+      for (int host = 0; host < 8; ++host) {
+        bench.AddPeer(address(host), static_cast<std::uint64_t>(host + 1));
+      }
+      bench.Take<SetReady>();
+      int into_silence = 0;
+      for (std::uint64_t id = 1; id <= 100; ++id) {
+        if (id <= 80) bench.Request(id, "/book/1");
+        for (SendToPeer& sent : bench.Take<SendToPeer>()) {
+          int host = 0;
+          while (address(host) != sent.peer_) ++host;
+          const auto* order = std::get_if<RunOrder>(&sent.message_);
+          if (host < row.silent_) {
+            if (order != nullptr) ++into_silence;
+          } else if (order != nullptr) {
+            bench.Feed(LinkReceived{
+                .peer_ = sent.peer_,
+                .message_ = Reply(order->send_id_, RunOutcome::kAnswered,
+                                  NotRunReason::kNone, 200)});
+          } else if (std::holds_alternative<PeerPing>(sent.message_)) {
+            bench.Feed(
+                LinkReceived{.peer_ = sent.peer_, .message_ = PeerPong{}});
+          }
+        }
+        bench.Pass(milliseconds(10));
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.ready_, bench.state().ready_);
+      // Within the first half second, or of the share that is silent.
+      CPPUNIT_ASSERT_MESSAGE(row.name_,
+                             into_silence <= 55 * row.silent_ / 8 + 5);
+      bench.Take<AnswerRequest>();
+      bench.Request(200, "/book/1");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.refused_ ? 503 : 0,
+                                   bench.TakeStatus());
+      if (row.ready_) continue;
+      for (int host = 0; host < 8; ++host) {
+        bench.Feed(
+            LinkReceived{.peer_ = address(host), .message_ = PeerPong{}});
+      }
+      bench.Pass(milliseconds(100));
+      CPPUNIT_ASSERT_MESSAGE(row.name_, bench.state().ready_);
+    }
+  }
+
   void UnroutedRequests() {
     struct Row {
       bool has_table_;
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -74,6 +74,10 @@
       return "backend_changed";
     case DecisionKind::kPeerChanged:
       return "peer_changed";
+    case DecisionKind::kPeersLost:
+      return "peers_lost";
+    case DecisionKind::kPeersBack:
+      return "peers_back";
     case DecisionKind::kTableChanged:
       return "table_changed";
     case DecisionKind::kStoreLost:
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -74,6 +74,8 @@
   Counter(text, "store_failures", counters.store_failures_);
   Counter(text, "statuses_sent", counters.statuses_sent_);
   Counter(text, "zone_sums_sent", counters.zone_sums_sent_);
+  Counter(text, "peers_avoided", counters.peers_avoided_);
+  Counter(text, "peers_suspected", counters.peers_suspected_);
   Counter(text, "inputs_unreadable", counters.inputs_unreadable_);
   Gauge(text, "running", state.running_);
   Gauge(text, "waiting", static_cast<double>(state.waiting_.runs_.size()));
