Membership: a backend server that left stays out after its host's process restarts

Looked for: a server that had left, in use again after a restart of one of the system's processes. It could happen: who leaves, or drains, is known to its own host's process and, by status, to its peers; a new process takes a heartbeat that was sent before the notice and arrives late for the truth, and every entry believed the newer process.

Change: statuses carry the incarnation's start and heartbeat number; peers keep the notice past the process that passed it on, do not use the incarnation again (a heartbeat with a later number takes a draining notice back, never that of one that is gone), and tell the new process. Test LeftBackendServerStaysOutAfterARestart; without the comparison it fails in its first row.

--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -87,6 +87,24 @@
   RefuseWaiting(step, NotRunReason::kDraining);
 }
 
+bool HasLeft(const BackendLeft& left, const std::string& instance,
+             std::int64_t started_at_ms, std::uint64_t sequence) {
+  return left.instance_ == instance && left.started_at_ms_ == started_at_ms &&
+         (left.gone_ || sequence <= left.sequence_);
+}
+
+void OnBackendLeft(RelayStep& step, const BackendLeft& left) {
+  const OwnBackend& backend = step.state_.backend_;
+  if (backend.state_ != BackendState::kReady) return;
+  if (!HasLeft(left, backend.instance_, backend.started_at_ms_,
+               backend.sequence_)) {
+    return;
+  }
+  ChangeState(step, left.gone_ ? BackendState::kGone : BackendState::kDraining,
+              "a peer knows that it left");
+  RefuseWaiting(step, NotRunReason::kDraining);
+}
+
 void OnBackendRefused(RelayStep& step) {
   if (step.state_.backend_.state_ != BackendState::kReady) return;
   ChangeState(step, BackendState::kUnreachable, "connection refused");
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -180,6 +180,32 @@
   UpdateReady(step);
 }
 
+// A process that has restarted knows nothing of what its backend server said
+// before. A heartbeat that was late may then pass for news: peers remember the
+// notice that this incarnation leaves, and tell.
+void CheckLeft(RelayStep& step, Peer& peer, std::uint64_t connection_id,
+               HostStatus& status) {
+  const bool leaves = status.backend_ == BackendState::kDraining ||
+                      status.backend_ == BackendState::kGone;
+  if (leaves) {
+    peer.left_ = {.instance_ = status.instance_,
+                  .started_at_ms_ = status.backend_started_at_ms_,
+                  .sequence_ = status.backend_sequence_,
+                  .gone_ = status.backend_ == BackendState::kGone};
+    return;
+  }
+  if (!peer.left_ || status.backend_ != BackendState::kReady) return;
+  if (!HasLeft(*peer.left_, status.instance_, status.backend_started_at_ms_,
+               status.backend_sequence_)) {
+    return;
+  }
+  status.backend_ =
+      peer.left_->gone_ ? BackendState::kGone : BackendState::kDraining;
+  LogPeer(step, peer, "its backend server had left before it restarted");
+  step.effects_.emplace_back(
+      SendBack{.connection_id_ = connection_id, .message_ = *peer.left_});
+}
+
 void CheckSilence(RelayStep& step, Peer& peer) {
   if (peer.in_flight_ == 0 && !peer.avoided_ && !peer.probed_) {
     peer.suspected_ = false;
@@ -360,6 +386,8 @@
       .service_ = state.backend_.service_.empty() ? step.options_.service_
                                                   : state.backend_.service_,
       .instance_ = state.backend_.instance_,
+      .backend_started_at_ms_ = state.backend_.started_at_ms_,
+      .backend_sequence_ = state.backend_.sequence_,
       .backend_ = state.backend_.state_,
       .slots_ = state.backend_.slots_,
       .running_ = state.running_,
@@ -435,6 +463,7 @@
   peer.status_at_ = step.now_;
   if (first || status.table_version_ != version) peer.version_at_ = step.now_;
   if (restarted) peer.holds_.clear();
+  CheckLeft(step, peer, connection_id, status);
   SetStatus(step, peer, std::move(status));
   peer.sent_since_ = 0;
   if (first || restarted) LogPeer(step, peer, first ? "known" : "restarted");
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -72,6 +72,11 @@
 // A connection to it was refused.
 void OnBackendRefused(RelayStep& step);
 void CheckBackendSilence(RelayStep& step);
+// A peer remembers what the own backend server said to an earlier process.
+void OnBackendLeft(RelayStep& step, const BackendLeft& left);
+// Whether this notice covers what an incarnation says with a heartbeat.
+bool HasLeft(const BackendLeft& left, const std::string& instance,
+             std::int64_t started_at_ms, std::uint64_t sequence);
 
 // Peers.
 Peer& EnsurePeer(RelayStep& step, const std::string& address);
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -33,7 +33,9 @@
   std::string region_;
   bool leaving_ = false;  // the node stops
   std::string service_;
-  std::string instance_;  // of the backend server
+  std::string instance_;                    // of the backend server
+  std::int64_t backend_started_at_ms_ = 0;  // orders incarnations
+  std::uint64_t backend_sequence_ = 0;      // of its newest heartbeat
   BackendState backend_ = BackendState::kUnknown;
   std::uint32_t slots_ = 0;
   std::uint32_t running_ = 0;
@@ -134,6 +136,14 @@
   std::uint64_t number_ = 0;
 };
 
+// An incarnation of a backend server that has said that it leaves, and when.
+struct BackendLeft {
+  std::string instance_;
+  std::int64_t started_at_ms_ = 0;
+  std::uint64_t sequence_ = 0;  // of the heartbeat that said so
+  bool gone_ = false;           // it serves no more, whatever it said before
+};
+
 // Asks for the routing document, if it is newer than this version.
 struct TableQuery {
   std::uint64_t newer_than_ = 0;
@@ -154,7 +164,8 @@
 
 using LinkMessage =
     std::variant<HostStatus, RunOrder, RunReply, RunCancel, PeerPing, PeerPong,
-                 TableQuery, TableText, PeersQuery, PeerAddresses, ZoneSum>;
+                 TableQuery, TableText, PeersQuery, PeerAddresses, ZoneSum,
+                 BackendLeft>;
 
 }  // namespace jujubefront
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -88,6 +88,8 @@
     OnPeersQuery(step, connection);
   } else if (auto* sum = std::get_if<ZoneSum>(&received.message_)) {
     OnZoneSum(step, connection, *sum);
+  } else if (auto* left = std::get_if<BackendLeft>(&received.message_)) {
+    OnBackendLeft(step, *left);
   } else if (auto* known = std::get_if<PeerAddresses>(&received.message_)) {
     for (const auto& address : known->addresses_) EnsurePeer(step, address);
   }
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -200,6 +200,9 @@
   Timestamp status_sent_at_;
   std::map<std::string, Duration> holds_;  // measured, by route
   Experience experience_;
+  // Newest notice that its backend server leaves. It outlives the process that
+  // passed it on.
+  std::optional<BackendLeft> left_;
 };
 
 // A connection that a peer opened.
--- a/src/relay/tests/host_tests.cc
+++ b/src/relay/tests/host_tests.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(RejectedRunsAreRepeatedHere);
   CPPUNIT_TEST(RepeatsStayWithinTheHostsPart);
   CPPUNIT_TEST(CallsAreNoDemandOfClients);
+  CPPUNIT_TEST(LeftBackendServerStaysOutAfterARestart);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -222,6 +223,60 @@
     }
   }
 
+  // A backend server said that it leaves; the process that heard it restarts,
+  // and a heartbeat from before the notice arrives late. Peers that heard of
+  // the notice do not use the backend server, and tell the new process.
+  void LeftBackendServerStaysOutAfterARestart() {
+    struct Row {
+      const char* name_;
+      BackendState said_;
+      std::int64_t started_at_ms_;  // of what the new process reports
+      std::uint64_t sequence_;      // its heartbeat
+      bool used_;
+    };
+    // The notice came with heartbeat 5 of the incarnation of time 1.
+    const Row rows[] = {
+        {"gone, late heartbeat", BackendState::kGone, 1, 4, false},
+        {"gone, later number", BackendState::kGone, 1, 9, false},
+        {"draining, late heartbeat", BackendState::kDraining, 1, 4, false},
+        {"took its notice back", BackendState::kDraining, 1, 6, true},
+        {"started again under its id", BackendState::kGone, 2, 1, true},
+    };
+    for (const Row& row : rows) {
+      RelayBench entry;
+      entry.LearnTable();
+      entry.AddPeer("10.0.0.2:7000", 1);
+      HostStatus status = entry.state().peers_.at("10.0.0.2:7000").status_;
+      status.boot_ = 1;
+      status.instance_ = "i-1";
+      status.backend_ = row.said_;
+      status.backend_started_at_ms_ = 1;
+      status.backend_sequence_ = 5;
+      entry.Feed(LinkReceived{.connection_id_ = 1, .message_ = status});
+      // The new process, on a connection of its own.
+      status.boot_ = 2;
+      status.backend_ = BackendState::kReady;
+      status.backend_started_at_ms_ = row.started_at_ms_;
+      status.backend_sequence_ = row.sequence_;
+      entry.Feed(LinkReceived{.connection_id_ = 2, .message_ = status});
+      entry.Request(1, "/read/1");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.used_,
+                                   !entry.TakeOrders().empty());
+      const auto told = entry.Take<SendBack>();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, !row.used_, told.size() == 1);
+      if (row.used_) continue;
+      // The new process hears it.
+      RelayBench host;
+      host.LearnTable();
+      host.HearBackend("i-1", row.started_at_ms_, row.sequence_);
+      host.Feed(LinkReceived{.peer_ = "10.0.0.3:7000",
+                             .message_ = told.front().message_});
+      CPPUNIT_ASSERT(host.state().backend_.state_ == row.said_);
+      Receive(host, Order(host, 1));
+      CPPUNIT_ASSERT(host.Take<StartRun>().empty());
+    }
+  }
+
   // Load pattern: two services call a third one's route. Requests that name the
   // run that makes them are work of that run, whatever the route: planned for
   // as clients' requests too, they would take the leaf's slots twice.
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -18,6 +18,7 @@
     peersQuery @8 :Void;
     peers @9 :List(Text);  # addresses that the sender knows
     zoneSum @10 :ZoneSum;
+    backendLeft @11 :BackendLeft;
   }
 }
 
@@ -52,6 +53,13 @@
   perSecond @2 :Float32;
 }
 
+struct BackendLeft {
+  instance @0 :Text;
+  startedAtMs @1 :Int64;
+  sequence @2 :UInt64;
+  gone @3 :Bool;
+}
+
 struct ServiceLoad {
   service @0 :Text;
   slots @1 :Float32;
@@ -91,6 +99,8 @@
   sentAtUs @15 :Int64;
   readsStore @16 :Bool;
   rejectedShare @17 :Float32;
+  backendStartedAtMs @18 :Int64;
+  backendSequence @19 :UInt64;
 }
 
 struct Order {
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -129,6 +129,8 @@
         status.demands_);
   builder.setReadsStore(status.reads_store_);
   builder.setRejectedShare(static_cast<float>(status.rejected_share_));
+  builder.setBackendStartedAtMs(status.backend_started_at_ms_);
+  builder.setBackendSequence(status.backend_sequence_);
 }
 
 HostStatus Read(linkwire::Status::Reader reader) {
@@ -155,9 +157,26 @@
   status.demands_ = Read(reader.getDemands());
   status.reads_store_ = reader.getReadsStore();
   status.rejected_share_ = reader.getRejectedShare();
+  status.backend_started_at_ms_ = reader.getBackendStartedAtMs();
+  status.backend_sequence_ = reader.getBackendSequence();
   return status;
 }
 
+void Write(linkwire::Message::Builder message, const BackendLeft& left) {
+  auto builder = message.initBackendLeft();
+  builder.setInstance(ToText(left.instance_));
+  builder.setStartedAtMs(left.started_at_ms_);
+  builder.setSequence(left.sequence_);
+  builder.setGone(left.gone_);
+}
+
+BackendLeft Read(linkwire::BackendLeft::Reader reader) {
+  return {.instance_ = ToString(reader.getInstance()),
+          .started_at_ms_ = reader.getStartedAtMs(),
+          .sequence_ = reader.getSequence(),
+          .gone_ = reader.getGone()};
+}
+
 void Write(linkwire::Message::Builder message, const ZoneSum& sum) {
   auto builder = message.initZoneSum();
   builder.setZone(ToText(sum.zone_));
@@ -310,6 +329,7 @@
   }
   void operator()(const PeersQuery&) { message_.setPeersQuery(); }
   void operator()(const ZoneSum& value) { Write(message_, value); }
+  void operator()(const BackendLeft& value) { Write(message_, value); }
   void operator()(const PeerAddresses& value) {
     auto list =
         message_.initPeers(static_cast<unsigned>(value.addresses_.size()));
@@ -349,6 +369,8 @@
     }
     case linkwire::Message::ZONE_SUM:
       return Read(message.getZoneSum());
+    case linkwire::Message::BACKEND_LEFT:
+      return Read(message.getBackendLeft());
   }
   return std::nullopt;
 }
--- a/src/relaylink/tests/relaylink_tests.cc
+++ b/src/relaylink/tests/relaylink_tests.cc
@@ -60,7 +60,11 @@
           TableText{.version_ = 4, .text_ = "{}"},
           PeersQuery{},
           PeerAddresses{.addresses_ = {"a", "b"}},
-          sum};
+          sum,
+          BackendLeft{.instance_ = "i",
+                      .started_at_ms_ = 5,
+                      .sequence_ = 6,
+                      .gone_ = true}};
 }
 
 class RelaylinkTests : public CppUnit::TestFixture {
