--- a/src/http1/tests/connection_tests.cc
+++ b/src/http1/tests/connection_tests.cc
@@ -310,7 +310,7 @@
       std::optional<Http1Failure> failure;
       Http1Client client(
           {.limits_ = {.max_body_bytes_ = 8 * 1024 * 1024}},
-          {.on_response_ = [](std::uint64_t, Http1Response) {},
+          {.on_response_ = [](std::uint64_t, const Http1Response&) {},
            .on_failure_ = [&](std::uint64_t,
                               Http1Failure how) { failure = how; }});
       client.SetAddress("127.0.0.1:" + std::to_string(listener.serverPort()));
@@ -328,7 +328,8 @@
       int requests = 0;
       Http1Server server(
           {.limits_ = {.max_body_bytes_ = 8 * 1024 * 1024}},
-          {.on_request_ = [&](std::uint64_t, Http1Request) { ++requests; },
+          {.on_request_ = [&](std::uint64_t,
+                              const Http1Request&) { ++requests; },
            .on_client_gone_ = [](std::uint64_t) {}});
       server.Listen(kAddress);
       EndlessSender sender("POST / HTTP/1.1\r\nHost: h\r\n" + part.begin_,
@@ -345,14 +346,15 @@
   void CheckOthersUnharmed(const char* name,
                            const std::function<bool()>& ended) {
     Http1Server sound({}, {.on_request_ =
-                               [&](std::uint64_t id, Http1Request) {
+                               [&](std::uint64_t id, const Http1Request&) {
                                  sound.Answer(id, {.status_ = 200});
                                },
                            .on_client_gone_ = [](std::uint64_t) {}});
     sound.Listen(kAddress);
     int answered = 0;
     Http1Client client(
-        {}, {.on_response_ = [&](std::uint64_t, Http1Response) { ++answered; },
+        {}, {.on_response_ = [&](std::uint64_t,
+                                 const Http1Response&) { ++answered; },
              .on_failure_ = [](std::uint64_t, Http1Failure) {}});
     client.SetAddress("127.0.0.1:" + std::to_string(sound.port()));
     const QDeadlineTimer end(kGivenUp + std::chrono::seconds(3));
--- a/src/relay/internal/zone_sums.cc
+++ b/src/relay/internal/zone_sums.cc
@@ -189,7 +189,8 @@
     if (peer.status_.zone_ == step.options_.zone_) continue;
     zones[peer.status_.zone_].push_back(&peer);
   }
-  for (auto& [zone, hosts] : zones) {
+  for (auto& [name, hosts] : zones) {
+    const std::string& zone = name;  // clang 14 captures no bindings
     const std::size_t kept = std::min(count, hosts.size());
     std::partial_sort(
         hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(kept),
--- a/src/relay/tests/entry_tests.cc
+++ b/src/relay/tests/entry_tests.cc
@@ -360,8 +360,9 @@
       const auto address = [](int host) {
         return "10.0.0." + std::to_string(host + 10) + ":7000";
       };
+      std::uint64_t connection = 0;
       for (int host = 0; host < 8; ++host) {
-        bench.AddPeer(address(host), static_cast<std::uint64_t>(host + 1));
+        bench.AddPeer(address(host), ++connection);
       }
       bench.Take<SetReady>();
       int into_silence = 0;
--- a/src/relay/tests/zone_sum_tests.cc
+++ b/src/relay/tests/zone_sum_tests.cc
@@ -266,10 +266,11 @@
       Zones zones(1);
       RelayBench& bench = zones.bench_;
       bench.HearBackend();
+      std::uint64_t send_id = 0;
       for (int i = 0; i < row.running_; ++i) {
         bench.Feed(LinkReceived{
             .connection_id_ = 11,
-            .message_ = RunOrder{.send_id_ = static_cast<std::uint64_t>(i + 1),
+            .message_ = RunOrder{.send_id_ = ++send_id,
                                  .sent_at_ = bench.now().time_since_epoch(),
                                  .instance_ = "i-1",
                                  .route_ = "read",
@@ -279,8 +280,9 @@
       bench.Pass(std::chrono::milliseconds(500));
       bench.Take<SendToPeer>();
       std::size_t statuses = 0;
+      std::uint64_t sequence = 1;
       for (int second = 0; second < 10; ++second) {
-        bench.HearBackend("i-1", 1, static_cast<std::uint64_t>(second + 2));
+        bench.HearBackend("i-1", 1, ++sequence);
         bench.Pass(std::chrono::seconds(1));
         for (const SendToPeer& sent : bench.Take<SendToPeer>()) {
           const auto* status = std::get_if<HostStatus>(&sent.message_);
--- a/src/retries/tests/retries_tests.cc
+++ b/src/retries/tests/retries_tests.cc
@@ -45,9 +45,8 @@
       // Requests of a second at one node; calls of them in all that its own
       // requests lead to.
       const double trees = row.sends_a_second_;
-      std::vector<double> spent_in;
+      std::vector<double> spent_in(kSeconds, 0.0);
       RandomState random{row.nodes_};
-      for (int second = 0; second < kSeconds; ++second) spent_in.push_back(0.0);
       for (std::size_t node = 0; node < std::min<std::size_t>(row.nodes_, 50);
            ++node) {
         std::map<std::string, RetryWindow> windows;
