--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -92,12 +92,19 @@
 // Tells those peers whose document is older that pass it on: the own zone, and
 // the first hosts of the others.
 void BroadcastTableVersion(RelayStep& step, bool from_peer);
-// This node has not run for so long: what it did not hear meanwhile says
-// nothing about others.
-void ForgiveOwnPause(RelayStep& step, Duration pause);
 void TickPeers(RelayStep& step);
 Distance DistanceTo(const RelayOptions& options, const HostStatus& status);
+void LogPeer(RelayStep& step, const Peer& peer, std::string_view change);
+
+// Silence of peers.
 void NoteHeard(Peer& peer, Timestamp now);
+// Pings, avoids, gives up or reconnects a peer by how long it was silent.
+void CheckSilence(RelayStep& step, Peer& peer);
+// Finds out whether this node is the one that is cut off.
+void CheckCutOff(RelayStep& step);
+// This node has not run for so long: what it did not hear meanwhile says
+// nothing about others.
+void ForgiveOwnPause(RelayStep& step, Duration pause);
 
 // Demand and admission.
 // Counts a request. True when a client comes back after a refusal.
