Relay: ends of backend servers are told from lost answers, and logged with what ran

No decision about a request changes.

- content: fingerprint of method, host, path with query and body, made in the adapter, carried by orders, named by the lines of a request and its runs.
- backend_ended: the own backend server ended without notice; how that is known (nobody listens, or a new incarnation), which incarnation, and what it ran.
A lost connection alone is no end: the host opens one connection after a broken run, which later runs use, and only a refusal counts.
A refusal and 'not sent' are told apart down to the socket.

Tests: OnlyTheEndOfAnIncarnationIsACrash (12 rows), BrokenRunsNameTheirContent, BreaksDuringAProbeLeadToAnother, FollowsContentsOverTheirAttempts.

--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -127,8 +127,10 @@
 
 CommandResult ExplainFromLogs(const Arguments& arguments) {
   BOOST_LEAF_AUTO(log, ReadRelayLog(arguments["logs"].as<std::string>()));
-  const Explanation explanation =
-      ExplainRequest(log, arguments["argument"].as<std::string>());
+  const auto subject = arguments["argument"].as<std::string>();
+  const Explanation explanation = IsContent(subject)
+                                      ? ExplainContent(log, subject)
+                                      : ExplainRequest(log, subject);
   std::cout << FormatExplanation(explanation);
   return explanation.found_ ? 0 : kRefusedExitCode;
 }
@@ -289,7 +291,8 @@
     "  drain         begin a planned stop of a node\n"
     "  explain ID    what became of a request: at a node (--node), or over "
     "all\n"
-    "                hosts of the platform, by their logs (--logs)\n"
+    "                hosts of the platform, by their logs (--logs); there\n"
+    "                also of a content, by its fingerprint\n"
     "  report LOGS   draws goodput, refusals and load over time as SVG\n"
     "  verify LOGS   looks for broken promises in relays' logs\n\n"
     "Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable, 4 not settled";
--- /dev/null
+++ b/src/base/fingerprint.h
@@ -0,0 +1,38 @@
+#ifndef JUJUBEFRONT_BASE_FINGERPRINT_H_
+#define JUJUBEFRONT_BASE_FINGERPRINT_H_
+
+#include <compare>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace jujubefront {
+
+// 128-bit hash that stands for a content. All zeros: not known.
+struct Fingerprint {
+  std::uint64_t high_ = 0;
+  std::uint64_t low_ = 0;
+
+  auto operator<=>(const Fingerprint&) const = default;
+  bool known() const { return high_ != 0 || low_ != 0; }
+};
+
+// Fingerprint of several parts, each with its length (XXH3, 128 bits).
+Fingerprint FingerprintOf(std::initializer_list<std::string_view> parts);
+
+inline constexpr std::size_t kFingerprintDigits = 32;
+
+// That many hexadecimal digits.
+std::string FormatFingerprint(const Fingerprint& fingerprint);
+
+// Hash for unordered containers.
+struct FingerprintHash {
+  std::size_t operator()(const Fingerprint& fingerprint) const {
+    return fingerprint.low_;
+  }
+};
+
+}  // namespace jujubefront
+
+#endif  // JUJUBEFRONT_BASE_FINGERPRINT_H_
--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -9,8 +9,9 @@
 constexpr Duration kIdleTimeout = std::chrono::seconds(7);
 
 BackendFailure FailureOf(Http1Failure failure) {
-  return failure == Http1Failure::kNotSent ? BackendFailure::kNotSent
-                                           : BackendFailure::kBroken;
+  const bool sent =
+      failure != Http1Failure::kNotSent && failure != Http1Failure::kRefused;
+  return sent ? BackendFailure::kBroken : BackendFailure::kNotSent;
 }
 
 }  // namespace
--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -38,6 +38,7 @@
   std::unique_ptr<Http1ResponseReader> reader_;
   std::uint64_t call_id_ = 0;
   bool busy_ = false;
+  bool probes_ = false;   // opened by a probe that has not ended
   bool written_ = false;  // bytes of the present request went to the socket
   std::string pending_;   // request that waits for the connection
   std::string correlation_;
@@ -87,7 +88,8 @@
   connections_[connection->id_] = std::move(owned);
   socket->SetHandlers(
       {.on_connected_ =
-           [connection] {
+           [this, connection] {
+             if (connection->probes_) EndProbe(*connection, false);
              if (connection->pending_.empty()) return;
              connection->written_ = true;
              const std::string text = std::move(connection->pending_);
@@ -132,6 +134,26 @@
   }
 }
 
+void Http1Client::Probe() {
+  Connection* connection = OpenNew();
+  if (connection == nullptr) {
+    QTimer::singleShot(0, this, [this] { handlers_.on_probed_(false); });
+    return;
+  }
+  connection->probes_ = true;
+}
+
+void Http1Client::EndProbe(Connection& connection, bool refused) {
+  connection.probes_ = false;
+  if (connection.socket_->connected() && idle_.size() < options_.max_idle_) {
+    connection.idle_until_ = Clock::now() + options_.idle_timeout_;
+    idle_.push_back(&connection);
+  } else {
+    Remove(connection);
+  }
+  handlers_.on_probed_(refused);
+}
+
 bool Http1Client::Abort(std::uint64_t call_id) {
   const auto found = calls_.find(call_id);
   if (found == calls_.end()) return false;
@@ -196,8 +218,13 @@
 }
 
 void Http1Client::OnEnd(Connection& connection, ConnectionEnd end) {
+  const bool refused = end == ConnectionEnd::kRefused;
+  if (connection.probes_) return EndProbe(connection, refused);
   if (!connection.busy_) return Remove(connection);
-  if (!connection.written_) return Fail(connection, Http1Failure::kNotSent);
+  if (!connection.written_) {
+    return Fail(connection,
+                refused ? Http1Failure::kRefused : Http1Failure::kNotSent);
+  }
   if (end == ConnectionEnd::kFinished) {
     const Http1Progress progress = connection.reader_->ReadEnd();
     if (progress.complete_) {
--- a/src/http1/http1_client.h
+++ b/src/http1/http1_client.h
@@ -20,6 +20,7 @@
 // How a call to an HTTP server ended without a usable response.
 enum class Http1Failure : std::uint8_t {
   kNotSent,   // no byte of the request was written
+  kRefused,   // the same, as nobody listens at the server's address
   kBroken,    // the connection ended within the response, or before it
   kMalformed  // what came is no response to this request
 };
@@ -46,6 +47,8 @@
         on_response_;
     std::function<void(std::uint64_t call_id, Http1Failure failure)>
         on_failure_;
+    // Ends a probe: whether it was refused, as nobody listens.
+    std::function<void(bool refused)> on_probed_;
   };
 
   Http1Client(Http1ClientOptions options, Handlers handlers);
@@ -60,6 +63,10 @@
   void Send(std::uint64_t call_id, const Http1Request& request,
             bool once = false);
 
+  // Opens a connection to learn whether the server still listens. It is kept
+  // for a later request.
+  void Probe();
+
   // Gives a call up and closes its connection. No handler is called for it.
   // False when the call is not open.
   bool Abort(std::uint64_t call_id);
@@ -71,6 +78,7 @@
 
   Connection* TakeIdle(bool once);
   Connection* OpenNew();
+  void EndProbe(Connection& connection, bool refused);
   void OnData(Connection& connection);
   void OnEnd(Connection& connection, ConnectionEnd end);
   bool Belongs(const Connection& connection,
--- a/src/netio/tcp_connection.cc
+++ b/src/netio/tcp_connection.cc
@@ -98,10 +98,10 @@
   remote.sin_port = htons(port);
   const int result = ::connect(descriptor, reinterpret_cast<sockaddr*>(&remote),
                                sizeof(remote));
-  const bool refused = result < 0 && errno != EINPROGRESS;
+  const int error = result < 0 && errno != EINPROGRESS ? errno : 0;
   auto* connection = new TcpConnection(descriptor, false, silence);
   // A refusal at once is reported like a later one, from the event loop.
-  connection->refused_ = refused;
+  connection->connect_error_ = error;
   return connection;
 }
 
@@ -184,7 +184,11 @@
     int error = 0;
     socklen_t length = sizeof(error);
     getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &length);
-    if (error != 0 || refused_) return End(ConnectionEnd::kBroken);
+    if (error == 0) error = connect_error_;
+    if (error != 0) {
+      return End(error == ECONNREFUSED ? ConnectionEnd::kRefused
+                                       : ConnectionEnd::kBroken);
+    }
     connected_ = true;
     Watch(true, writing_);
     if (handlers_.on_connected_) handlers_.on_connected_();
--- a/src/netio/tcp_connection.h
+++ b/src/netio/tcp_connection.h
@@ -15,6 +15,7 @@
 enum class ConnectionEnd : std::uint8_t {
   kFinished,  // the other side closed it in order (FIN)
   kBroken,    // reset, timed out or unreachable
+  kRefused,   // nobody listens at the address
 };
 
 // How silence of the other side is noticed.
@@ -94,7 +95,7 @@
   int descriptor_ = -1;
   bool connected_ = false;
   bool ended_ = false;
-  bool refused_ = false;  // the connection attempt failed at once
+  int connect_error_ = 0;  // of an attempt that failed at once
   Handlers handlers_;
   std::string inbox_;
   std::size_t inbox_start_ = 0;
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -126,6 +126,7 @@
           .instance_ = peer.status_.instance_,
           .route_ = request.route_,
           .caller_service_ = step.options_.service_,
+          .content_ = request.content_,
           .priority_ = request.priority_,
           .is_call_ = request.is_call_,
           .tree_rank_ = request.tree_rank_,
@@ -324,6 +325,7 @@
   request.is_call_ = origin.is_call_;
   request.service_ = PickService(route, NextUnit(step.state_.random_));
   request.tree_rank_ = NextUnit(step.state_.random_);
+  request.content_ = arrived.content_;
   request.request_ = std::move(arrived.request_);
   RemoveConnectionHeaders(request.request_.headers_);
   request.objective_at_ = step.now_ + route.latency_objective_;
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -100,6 +100,7 @@
 void Start(RelayStep& step, OpenRun& run) {
   run.started_ = true;
   run.started_at_ = step.now_;
+  run.backend_started_at_ms_ = step.state_.backend_.started_at_ms_;
   step.state_.run_of_deadline_.emplace(run.deadline_, run.run_id_);
   step.state_.run_of_trace_[run.order_.trace_id_] = run.run_id_;
   ++step.state_.running_;
@@ -235,6 +236,7 @@
   if (!run.order_.idempotent_) return;
   step.effects_.emplace_back(AbortRun{.run_id_ = run.run_id_});
   ReleaseSlot(step, run);
+  NoteUnanswered(step, run);
   Reply(step, run, {.outcome_ = RunOutcome::kTimedOut});
   Erase(step, run);
   StartWaiting(step);
@@ -292,12 +294,19 @@
   if (found == step.state_.runs_.end()) return;
   OpenRun& run = found->second;
   ReleaseSlot(step, run);
-  if (broke.break_ == BackendBreak::kNotSent) {
+  if (broke.break_ == BackendBreak::kNotSent ||
+      broke.break_ == BackendBreak::kRefused) {
     ReplyNotRun(step, run, NotRunReason::kUnreachable);
-    OnBackendRefused(step);
+    if (broke.break_ == BackendBreak::kRefused) {
+      OnBackendRefused(step);
+    } else {
+      OnBackendUnreachable(step);
+    }
     return StartWaiting(step);
   }
   ++step.state_.counters_.runs_broken_;
+  NoteUnanswered(step, run);
+  SuspectEnd(step);
   LogRunBroken(step, run,
                broke.break_ == BackendBreak::kBroken
                    ? "connection was lost"
@@ -324,6 +333,7 @@
   }
   step.effects_.emplace_back(AbortRun{.run_id_ = run_id});
   ReleaseSlot(step, run);
+  NoteUnanswered(step, run);
   NoteRun(step, run);
   LogRunBroken(step, run, "no response in time");
   Reply(step, run, {.outcome_ = RunOutcome::kTimedOut});
--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -4,6 +4,11 @@
 namespace {
 
 constexpr Duration kSilenceMargin = std::chrono::milliseconds(1000);
+// A refused connection explains runs that broke up to so long before it.
+constexpr Duration kRefusalWindow = std::chrono::seconds(2);
+// A heartbeat may be read so long after it was sent: runs that broke within
+// that time before it may have ended its sender.
+constexpr Duration kLateHeartbeat = std::chrono::seconds(1);
 
 std::string_view StateName(BackendState state) {
   switch (state) {
@@ -60,6 +65,7 @@
   const bool replaced = heard.instance_ != backend.instance_ ||
                         heard.started_at_ms_ != backend.started_at_ms_;
   if (replaced) {
+    OnBackendEnded(step, backend.heard_at_ - kLateHeartbeat, "new incarnation");
     step.state_.run_stats_.clear();
     backend.state_ = BackendState::kUnknown;
   }
@@ -105,12 +111,30 @@
   RefuseWaiting(step, NotRunReason::kDraining);
 }
 
-void OnBackendRefused(RelayStep& step) {
+void OnBackendUnreachable(RelayStep& step) {
   if (step.state_.backend_.state_ != BackendState::kReady) return;
   ChangeState(step, BackendState::kUnreachable, "connection refused");
   RefuseWaiting(step, NotRunReason::kUnreachable);
 }
 
+void OnBackendRefused(RelayStep& step) {
+  if (step.state_.backend_.state_ != BackendState::kReady) return;
+  OnBackendEnded(step, step.now_ - kRefusalWindow, "connection refused");
+  OnBackendUnreachable(step);
+}
+
+void OnBackendProbed(RelayStep& step, const BackendProbed& probed) {
+  CrashEvidence& evidence = step.state_.crash_evidence_;
+  evidence.probing_ = false;
+  if (probed.refused_) {
+    evidence.probe_again_ = false;
+    return OnBackendRefused(step);
+  }
+  if (!evidence.probe_again_) return;
+  evidence.probe_again_ = false;
+  SuspectEnd(step);
+}
+
 void CheckBackendSilence(RelayStep& step) {
   OwnBackend& backend = step.state_.backend_;
   if (backend.state_ == BackendState::kUnknown ||
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -69,8 +69,11 @@
 // The own backend server.
 void OnBackendHeard(RelayStep& step, const BackendHeard& heard);
 void OnBackendLeaves(RelayStep& step, const BackendLeaves& leaves);
-// A connection to it was refused.
+// No connection to it can be opened.
+void OnBackendUnreachable(RelayStep& step);
+// Nobody listens at its address.
 void OnBackendRefused(RelayStep& step);
+void OnBackendProbed(RelayStep& step, const BackendProbed& probed);
 void CheckBackendSilence(RelayStep& step);
 // A peer remembers what the own backend server said to an earlier process.
 void OnBackendLeft(RelayStep& step, const BackendLeft& left);
@@ -78,6 +81,15 @@
 bool HasLeft(const BackendLeft& left, const std::string& instance,
              std::int64_t started_at_ms, std::uint64_t sequence);
 
+// Ends of incarnations of the own backend server.
+// The run gets no response any more.
+void NoteUnanswered(RelayStep& step, const OpenRun& run);
+// A run has broken: the backend server may have ended.
+void SuspectEnd(RelayStep& step);
+// The present incarnation has ended without notice. What has ended without a
+// response since then, and what is open, was running there.
+void OnBackendEnded(RelayStep& step, Timestamp since, std::string_view how);
+
 // Peers.
 Peer& EnsurePeer(RelayStep& step, const std::string& address);
 void OnStatus(RelayStep& step, std::uint64_t connection_id, HostStatus& status);
--- a/src/relay/internal/request_log.cc
+++ b/src/relay/internal/request_log.cc
@@ -9,8 +9,16 @@
 // character, before the ids of their calls.
 constexpr char kIdSeparator = '.';
 
+// Contents that one line names.
+constexpr std::size_t kMostNamed = 64;
+
 std::int64_t Microseconds(Duration duration) { return duration.count(); }
 
+void AddContent(Decision& decision, const Fingerprint& content) {
+  if (!content.known()) return;
+  decision.inputs_.emplace_back("content", FormatFingerprint(content));
+}
+
 }  // namespace
 
 bool IsTraced(const RelayStep& step, std::string_view trace_id) {
@@ -38,6 +46,7 @@
           {"elapsed_us", Microseconds(step.now_ - request.arrived_)},
           {"left_us", Microseconds(request.deadline_ - step.now_)},
           {"table", static_cast<std::int64_t>(step.state_.table_.version_)}}};
+  AddContent(decision, request.content_);
   const auto admitted = step.state_.admitted_.find(request.route_);
   if (admitted != step.state_.admitted_.end()) {
     decision.inputs_.emplace_back("admitted", admitted->second);
@@ -68,13 +77,14 @@
                   {"waiting", std::int64_t{peer.status_.waiting_}},
                   {"status_age_us", Microseconds(step.now_ - peer.status_at_)},
                   {"left_us", Microseconds(request.deadline_ - step.now_)}}};
+  AddContent(decision, request.content_);
   if (again) decision.inputs_.emplace_back("why", std::string(resent_because));
   step.effects_.emplace_back(std::move(decision));
 }
 
 void LogRunStarted(RelayStep& step, const OpenRun& run) {
   if (!IsTraced(step, run.order_.trace_id_)) return;
-  step.effects_.emplace_back(Decision{
+  Decision decision{
       .kind_ = DecisionKind::kRunStarted,
       .trace_id_ = run.order_.trace_id_,
       .inputs_ = {{"route", run.order_.route_},
@@ -82,7 +92,9 @@
                   {"idempotent", std::int64_t{run.order_.idempotent_}},
                   {"waited_us", Microseconds(step.now_ - run.arrived_)},
                   {"running", std::int64_t{step.state_.running_}},
-                  {"slots", std::int64_t{step.state_.backend_.slots_}}}});
+                  {"slots", std::int64_t{step.state_.backend_.slots_}}}};
+  AddContent(decision, run.order_.content_);
+  step.effects_.emplace_back(std::move(decision));
 }
 
 void LogRunRefused(RelayStep& step, const OpenRun& run, NotRunReason reason) {
@@ -131,24 +143,53 @@
 void LogRunEnded(RelayStep& step, const OpenRun& run,
                  const Http1Response& response) {
   if (!IsTraced(step, run.order_.trace_id_)) return;
-  step.effects_.emplace_back(Decision{
+  Decision decision{
       .kind_ = DecisionKind::kRunEnded,
       .trace_id_ = run.order_.trace_id_,
       .inputs_ = {{"route", run.order_.route_},
                   {"instance", run.order_.instance_},
                   {"status", std::int64_t{response.status_}},
                   {"bytes", static_cast<std::int64_t>(response.body_.size())},
-                  {"ran_us", Microseconds(step.now_ - run.started_at_)}}});
+                  {"ran_us", Microseconds(step.now_ - run.started_at_)}}};
+  AddContent(decision, run.order_.content_);
+  step.effects_.emplace_back(std::move(decision));
 }
 
 void LogRunBroken(RelayStep& step, const OpenRun& run, std::string_view why) {
-  step.effects_.emplace_back(Decision{
+  Decision decision{
       .kind_ = DecisionKind::kRunBroken,
       .trace_id_ = run.order_.trace_id_,
       .inputs_ = {{"route", run.order_.route_},
+                  {"caller", run.order_.caller_service_},
                   {"instance", run.order_.instance_},
+                  {"started_at_ms", run.backend_started_at_ms_},
                   {"why", std::string(why)},
-                  {"ran_us", Microseconds(step.now_ - run.started_at_)}}});
+                  {"others", std::int64_t{step.state_.running_}},
+                  {"ran_us", Microseconds(step.now_ - run.started_at_)}}};
+  AddContent(decision, run.order_.content_);
+  step.effects_.emplace_back(std::move(decision));
+}
+
+void LogBackendEnded(RelayStep& step, std::string_view how,
+                     const std::vector<UnansweredRun>& runs) {
+  std::string contents;
+  for (const UnansweredRun& run : runs) {
+    if (!run.content_.known()) continue;
+    if (contents.size() / (kFingerprintDigits + 1) == kMostNamed) break;
+    contents += (contents.empty() ? "" : " ") + FormatFingerprint(run.content_);
+  }
+  const OwnBackend& backend = step.state_.backend_;
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kBackendEnded,
+      .trace_id_ = {},
+      .inputs_ = {
+          {"instance", backend.instance_},
+          {"started_at_ms", backend.started_at_ms_},
+          {"service", backend.service_},
+          {"how", std::string(how)},
+          {"runs", static_cast<std::int64_t>(runs.size())},
+          {"contents", contents},
+          {"heartbeat_age_us", Microseconds(step.now_ - backend.heard_at_)}}});
 }
 
 std::string_view ReasonText(NotRunReason reason) {
--- a/src/relay/internal/request_log.h
+++ b/src/relay/internal/request_log.h
@@ -31,6 +31,10 @@
                  const Http1Response& response);
 void LogRunBroken(RelayStep& step, const OpenRun& run, std::string_view why);
 
+// The own backend server has ended without notice while it ran these.
+void LogBackendEnded(RelayStep& step, std::string_view how,
+                     const std::vector<UnansweredRun>& runs);
+
 std::string_view ReasonText(NotRunReason reason);
 
 }  // namespace jujubefront
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "allocation/allocation.h"
+#include "base/fingerprint.h"
 #include "base/time_types.h"
 #include "callgraph/callgraph.h"
 #include "http1/http1_types.h"
@@ -78,6 +79,7 @@
   std::string instance_;                 // only this backend server may run it
   std::string route_;
   std::string caller_service_;
+  Fingerprint content_;
   std::uint32_t priority_ = 0;
   bool is_call_ = false;  // made by a backend server
   // Same for all calls of one client's request, in [0, 1).
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -112,6 +112,7 @@
     OnPeerDisconnected(step_, e.peer_);
   }
   void operator()(BackendResponded& e) const { OnBackendResponded(step_, e); }
+  void operator()(BackendProbed& e) const { OnBackendProbed(step_, e); }
   void operator()(BackendBroke& e) const { OnBackendBroke(step_, e); }
   void operator()(BackendHeard& e) const { OnBackendHeard(step_, e); }
   void operator()(BackendLeaves& e) const { OnBackendLeaves(step_, e); }
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -60,6 +60,9 @@
   std::uint64_t run_id_ = 0;
 };
 
+// Finds out whether the own backend server still listens.
+struct ProbeBackend {};
+
 // Reads the newest routing document.
 struct ReadTable {};
 
@@ -106,6 +109,7 @@
   kRunEnded,
   kRunBroken,
   kBackendChanged,
+  kBackendEnded,
   kPeerChanged,
   kPeersLost,  // most peers are silent
   kPeersBack,
@@ -129,9 +133,9 @@
 
 using RelayEffect =
     std::variant<AnswerRequest, SendToPeer, SendBack, ConnectPeer,
-                 DisconnectPeer, StartRun, AbortRun, ReadTable, AwaitTable,
-                 AnnounceNode, ReadNodes, ApplyClientLimits, SetReady,
-                 CloseClients, EndProcess, Decision>;
+                 DisconnectPeer, StartRun, AbortRun, ProbeBackend, ReadTable,
+                 AwaitTable, AnnounceNode, ReadNodes, ApplyClientLimits,
+                 SetReady, CloseClients, EndProcess, Decision>;
 
 }  // namespace jujubefront
 
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/fingerprint.h"
 #include "relay/message_types.h"
 #include "routes/routes_types.h"
 
@@ -20,6 +21,9 @@
   std::string parent_trace_id_;
   std::string host_;  // Host header
   std::optional<Duration> remaining_;
+  // Of all that a backend server gets of it but the caller: the same in every
+  // attempt. Not known: the request is never taken for a repeated one.
+  Fingerprint content_;
   Http1Request request_;
 };
 
@@ -64,13 +68,23 @@
   bool spoilt_ = false;  // not the body that the backend server made
 };
 
-enum class BackendBreak : std::uint8_t { kNotSent, kBroken, kMalformed };
+enum class BackendBreak : std::uint8_t {
+  kNotSent,
+  kRefused,  // not sent either: nobody listens at the address
+  kBroken,
+  kMalformed,
+};
 
 struct BackendBroke {
   std::uint64_t run_id_ = 0;
   BackendBreak break_ = BackendBreak::kBroken;
 };
 
+// Answer to ProbeBackend.
+struct BackendProbed {
+  bool refused_ = false;  // nobody listens at the address
+};
+
 // What the own backend server says of itself.
 struct BackendHeard {
   std::string instance_;
@@ -137,8 +151,8 @@
 using RelayEventBody =
     std::variant<RequestArrived, RequesterGone, LinkReceived, LinkEnded,
                  PeerConnected, PeerDisconnected, BackendResponded,
-                 BackendBroke, BackendHeard, BackendLeaves, TableRead,
-                 TableOffset, NodesRead, NodeAnnounced, StoreFailed,
+                 BackendBroke, BackendProbed, BackendHeard, BackendLeaves,
+                 TableRead, TableOffset, NodesRead, NodeAnnounced, StoreFailed,
                  InputUnreadable, RelayTimeReached, StopRequested,
                  SettingsReloaded>;
 
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -117,6 +117,7 @@
   double tree_rank_ = 0.0;        // see RetryClaim
   bool is_repeat_ = false;        // sent again, or called by a run that is
   bool is_returning_ = false;     // waited after a refusal and came back
+  Fingerprint content_;
   Http1Request request_;
   std::uint64_t send_id_ = 0;  // present send
   std::uint32_t sends_ = 0;    // that may have reached a backend server
@@ -143,11 +144,31 @@
   Timestamp deadline_;
   Timestamp started_at_;
   bool started_ = false;
+  std::int64_t backend_started_at_ms_ = 0;  // of the incarnation that runs it
+  bool backend_ended_ = false;              // that incarnation, without notice
   bool calls_failed_ = false;
   std::uint32_t rejections_ = 0;                // by the own backend server
   std::map<std::string, std::uint32_t> calls_;  // that named it, by route
 };
 
+// A run that has ended without a response.
+struct UnansweredRun {
+  std::string trace_id_;
+  std::string instance_;
+  std::int64_t backend_started_at_ms_ = 0;
+  Fingerprint content_;
+  std::string caller_service_;
+  Timestamp ended_at_;
+};
+
+// What may show that an incarnation of the own backend server has ended, and
+// what it was running then.
+struct CrashEvidence {
+  std::deque<UnansweredRun> unanswered_;  // oldest first
+  bool probing_ = false;
+  bool probe_again_ = false;  // a run broke while a probe was under way
+};
+
 // Smoothed measurements of the runs of one route at the own backend server.
 struct RunStats {
   double runs_ = 0.0;          // of the running average
@@ -288,6 +309,8 @@
   std::uint64_t runs_ = 0;
   std::uint64_t runs_refused_ = 0;
   std::uint64_t runs_broken_ = 0;
+  std::uint64_t backends_ended_ = 0;  // without notice, with runs in progress
+  std::uint64_t backend_probes_ = 0;
   std::uint64_t late_replies_ = 0;
   std::uint64_t store_calls_ = 0;
   std::uint64_t store_failures_ = 0;
@@ -316,6 +339,7 @@
   WaitingQueue waiting_;
   std::uint32_t running_ = 0;
   OwnBackend backend_;
+  CrashEvidence crash_evidence_;
   std::map<std::string, RunStats> run_stats_;
   // Runs refused for want of a slot: in the window under way, and the slots
   // that those of the last window would have held.
--- /dev/null
+++ b/src/relay/tests/crash_evidence_tests.cc
@@ -0,0 +1,203 @@
+#include <functional>
+
+#include "relay/tests/relay_bench.h"
+
+namespace jujubefront {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kEntryConnection = 7;
+constexpr Fingerprint kContent{.high_ = 1, .low_ = 2};
+
+// A host whose backend server has begun to run one order.
+struct Host {
+  Host() {
+    bench_.LearnTable();
+    bench_.HearBackend();
+    bench_.Feed(LinkReceived{.connection_id_ = kEntryConnection,
+                             .message_ = RunOrder{.send_id_ = 1,
+                                                  .trace_id_ = "t1",
+                                                  .instance_ = "i-1",
+                                                  .route_ = "read",
+                                                  .caller_service_ = "other",
+                                                  .content_ = kContent,
+                                                  .idempotent_ = true,
+                                                  .remaining_ = seconds(5)}});
+    const auto runs = bench_.Take<StartRun>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs.size());
+    run_id_ = runs.front().run_id_;
+    bench_.Take<Decision>();
+  }
+
+  void Break(BackendBreak how = BackendBreak::kBroken) {
+    bench_.Feed(BackendBroke{.run_id_ = run_id_, .break_ = how});
+  }
+
+  // The decision of this kind since the last call, if there is one.
+  std::optional<Decision> TakeDecision(DecisionKind kind) {
+    std::optional<Decision> found;
+    for (Decision& decision : bench_.Take<Decision>()) {
+      if (decision.kind_ == kind) found = std::move(decision);
+    }
+    return found;
+  }
+
+  RelayBench bench_;
+  std::uint64_t run_id_ = 0;
+};
+
+std::string TextOf(const Decision& decision, std::string_view name) {
+  for (const auto& [key, value] : decision.inputs_) {
+    if (key == name) return std::get<std::string>(value);
+  }
+  return "";
+}
+
+class CrashEvidenceTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CrashEvidenceTests);
+  CPPUNIT_TEST(OnlyTheEndOfAnIncarnationIsACrash);
+  CPPUNIT_TEST(BrokenRunsNameTheirContent);
+  CPPUNIT_TEST(BreaksDuringAProbeLeadToAnother);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // What happens after a run has begun, and whether the end of the backend
+  // server with this run is believed.
+  void OnlyTheEndOfAnIncarnationIsACrash() {
+    struct Row {
+      const char* name_;
+      std::function<void(Host&)> then_;
+      std::string how_;  // empty: not believed
+    };
+    const Row rows[] = {
+        {"connection lost, nobody listens",
+         [](Host& host) {
+           host.Break();
+           host.bench_.Feed(BackendProbed{.refused_ = true});
+         },
+         "connection refused"},
+        {"nobody listens while the run is open",
+         [](Host& host) { host.bench_.Feed(BackendProbed{.refused_ = true}); },
+         "connection refused"},
+        {"connection lost, still listens",
+         [](Host& host) {
+           host.Break();
+           host.bench_.Feed(BackendProbed{});
+         },
+         ""},
+        {"spoilt answer, still listens",
+         [](Host& host) {
+           host.Break(BackendBreak::kMalformed);
+           host.bench_.Feed(BackendProbed{});
+         },
+         ""},
+        {"answer lost long before nobody listens",
+         [](Host& host) {
+           host.Break();
+           host.bench_.Feed(BackendProbed{});
+           host.bench_.Pass(milliseconds(2500));
+           host.bench_.Feed(BackendProbed{.refused_ = true});
+         },
+         ""},
+        {"connection lost, new incarnation",
+         [](Host& host) {
+           host.Break();
+           host.bench_.Pass(seconds(3));
+           host.bench_.HearBackend("i-2", 2);
+         },
+         "new incarnation"},
+        {"connection lost, restarted under its name",
+         [](Host& host) {
+           host.Break();
+           host.bench_.Pass(seconds(3));
+           host.bench_.HearBackend("i-1", 2);
+         },
+         "new incarnation"},
+        {"silent, run given up, new incarnation",
+         [](Host& host) {
+           host.bench_.Feed(
+               LinkReceived{.connection_id_ = kEntryConnection,
+                            .message_ = RunCancel{.send_id_ = 1}});
+           host.bench_.Pass(seconds(3));
+           host.bench_.HearBackend("i-2", 2);
+         },
+         "new incarnation"},
+        {"said that it drains",
+         [](Host& host) {
+           host.bench_.HearBackend("i-1", 1, 2, true);
+           host.Break();
+           host.bench_.Feed(BackendProbed{.refused_ = true});
+           host.bench_.HearBackend("i-2", 2);
+         },
+         ""},
+        {"said that it leaves",
+         [](Host& host) {
+           host.bench_.Feed(BackendLeaves{.instance_ = "i-1"});
+           host.Break();
+           host.bench_.HearBackend("i-2", 2);
+         },
+         ""},
+        {"answered, then replaced",
+         [](Host& host) {
+           host.bench_.Feed(BackendResponded{.run_id_ = host.run_id_,
+                                             .response_ = {.status_ = 200}});
+           host.bench_.HearBackend("i-2", 2);
+         },
+         ""},
+        {"out of reach, for want of a descriptor or a route",
+         [](Host& host) { host.Break(BackendBreak::kNotSent); }, ""},
+    };
+    for (const Row& row : rows) {
+      Host host;
+      row.then_(host);
+      const auto ended = host.TakeDecision(DecisionKind::kBackendEnded);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, !row.how_.empty(),
+                                   ended.has_value());
+      if (!ended) continue;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.how_, TextOf(*ended, "how"));
+      CPPUNIT_ASSERT_EQUAL(std::string("i-1"), TextOf(*ended, "instance"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, FormatFingerprint(kContent),
+                                   TextOf(*ended, "contents"));
+    }
+  }
+
+  void BrokenRunsNameTheirContent() {
+    Host host;
+    host.Break();
+    const auto broken = host.TakeDecision(DecisionKind::kRunBroken);
+    CPPUNIT_ASSERT(broken.has_value());
+    CPPUNIT_ASSERT_EQUAL(FormatFingerprint(kContent),
+                         TextOf(*broken, "content"));
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), TextOf(*broken, "caller"));
+  }
+
+  // The connection that the first probe opens may be older than the end.
+  void BreaksDuringAProbeLeadToAnother() {
+    Host host;
+    host.Break();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         host.bench_.Take<ProbeBackend>().size());
+    host.bench_.Feed(LinkReceived{
+        .connection_id_ = kEntryConnection,
+        .message_ = RunOrder{.send_id_ = 2,
+                             .trace_id_ = "t2",
+                             .instance_ = "i-1",
+                             .route_ = "read",
+                             .remaining_ = seconds(1)}});
+    const auto runs = host.bench_.Take<StartRun>();
+    host.bench_.Feed(BackendBroke{.run_id_ = runs.front().run_id_});
+    CPPUNIT_ASSERT(host.bench_.Take<ProbeBackend>().empty());
+    host.bench_.Feed(BackendProbed{});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         host.bench_.Take<ProbeBackend>().size());
+    host.bench_.Feed(BackendProbed{});
+    CPPUNIT_ASSERT(host.bench_.Take<ProbeBackend>().empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashEvidenceTests);
+
+}  // namespace
+}  // namespace jujubefront
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -121,6 +121,8 @@
   sentAtUs @14 :Int64;
   treeRank @15 :Float32;
   isRepeat @16 :Bool;
+  contentHigh @17 :UInt64;
+  contentLow @18 :UInt64;
 }
 
 struct Reply {
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -238,6 +238,8 @@
   builder.setInstance(ToText(order.instance_));
   builder.setRoute(ToText(order.route_));
   builder.setCallerService(ToText(order.caller_service_));
+  builder.setContentHigh(order.content_.high_);
+  builder.setContentLow(order.content_.low_);
   builder.setPriority(order.priority_);
   builder.setIsCall(order.is_call_);
   builder.setIdempotent(order.idempotent_);
@@ -260,6 +262,8 @@
   order.instance_ = ToString(reader.getInstance());
   order.route_ = ToString(reader.getRoute());
   order.caller_service_ = ToString(reader.getCallerService());
+  order.content_ = {.high_ = reader.getContentHigh(),
+                    .low_ = reader.getContentLow()};
   order.priority_ = reader.getPriority();
   order.is_call_ = reader.getIsCall();
   order.idempotent_ = reader.getIdempotent();
--- a/src/relaylog/explain.h
+++ b/src/relaylog/explain.h
@@ -19,6 +19,13 @@
 // Follows a request from its answer to its cause.
 Explanation ExplainRequest(const RelayLog& log, const std::string& request);
 
+// Whether the text is a content's fingerprint, as the lines write it.
+bool IsContent(const std::string& text);
+
+// Follows a content over all its attempts, and over the backend servers that
+// ended while they ran it.
+Explanation ExplainContent(const RelayLog& log, const std::string& content);
+
 std::string FormatExplanation(const Explanation& explanation);
 
 }  // namespace jujubefront
--- a/src/relaylog/tests/relaylog_tests.cc
+++ b/src/relaylog/tests/relaylog_tests.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(CountsWhatWasDropped);
   CPPUNIT_TEST(FindsBreaches);
   CPPUNIT_TEST(JudgesRetriesOfWholeLogsOnly);
+  CPPUNIT_TEST(FollowsContentsOverTheirAttempts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +58,52 @@
     }
   }
 
+  // Three backend servers end while they run a content; it goes on coming.
+  void FollowsContentsOverTheirAttempts() {
+    const std::string content(32, 'a');
+    std::string log;
+    for (int i = 0; i < 3; ++i) {
+      log += std::to_string(i) + " h" + std::to_string(i) +
+             R"( {"event":"backend_ended","instance":"i","started_at_ms":)" +
+             std::to_string(i) + R"(,"how":"connection refused","runs":2,)" +
+             R"("contents":"bb )" + content + "\"}\n";
+    }
+    struct Row {
+      const char* name_;
+      int starts_;
+      double first_at_;  // seconds
+      bool succeeds_;
+      bool breach_;
+    };
+    const Row rows[] = {{"few", 3, 7.0, false, false},
+                        {"many", 4, 7.0, false, true},
+                        {"too early to be known", 4, 5.0, false, false},
+                        {"it succeeds elsewhere", 4, 7.0, true, false}};
+    for (const Row& row : rows) {
+      std::string all = log;
+      for (int i = 0; i < row.starts_; ++i) {
+        all += std::to_string(row.first_at_) + " h4 " +
+               R"({"event":"run_started","request":"r)" + std::to_string(i) +
+               R"(","content":")" + content + "\"}\n";
+      }
+      if (row.succeeds_) {
+        all += R"(8 h4 {"event":"run_ended","request":"r0","status":200,)"
+               R"("content":")" +
+               content + "\"}\n";
+      }
+      const auto breaches = VerifyLog(LogOf(all)).breaches_;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.breach_, !breaches.empty());
+      if (row.breach_) {
+        CPPUNIT_ASSERT(breaches[0].rule_ == LogRule::kCrashingContent);
+        CPPUNIT_ASSERT_EQUAL(content, breaches[0].subject_);
+      }
+      CPPUNIT_ASSERT(IsContent(content));
+      const std::string text =
+          FormatExplanation(ExplainContent(LogOf(all), content));
+      CPPUNIT_ASSERT(Contains(text, "3 incarnations ended"));
+    }
+  }
+
   // The three kinds of failed request that operators ask about, and others.
   void FindsCauses() {
     struct Row {
--- a/src/relaylog/verify.cc
+++ b/src/relaylog/verify.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <sstream>
 
 namespace jujubefront {
 namespace {
@@ -30,6 +31,13 @@
   std::vector<Timestamp> repeats_;
 };
 
+// Runs of one content, and the backend servers that ended during them.
+struct ContentView {
+  std::vector<Timestamp> starts_;
+  std::map<std::string, Timestamp> ends_;  // by incarnation
+  bool succeeds_ = false;
+};
+
 // How many of the sorted times lie in (from, to].
 double CountBetween(const std::vector<Timestamp>& times, Timestamp from,
                     Timestamp to) {
@@ -45,6 +53,7 @@
   LogVerdict Verify(const RelayLog& log) {
     for (const LogLine& line : log.records_) Take(line);
     for (const auto& [id, request] : requests_) Judge(id, request);
+    for (auto& [name, content] : contents_) JudgeContent(name, content);
     if (complete_) {
       for (auto& [name, service] : services_) JudgeRetries(name, service);
     }
@@ -65,6 +74,8 @@
       if (line.Number("trace_sample") != 1) complete_ = false;
     } else if (line.event_ == "table_changed") {
       TakeTable(line, host);
+    } else if (line.event_ == "backend_ended") {
+      TakeEnd(line);
     } else if (line.event_ == "backend_changed") {
       TakeBackend(line, host);
     } else if (!line.request_.empty()) {
@@ -91,8 +102,47 @@
     }
   }
 
+  void TakeEnd(const LogLine& line) {
+    const std::string incarnation =
+        line.Text("instance") + "/" +
+        std::to_string(line.Number("started_at_ms"));
+    std::istringstream contents(line.Text("contents"));
+    for (std::string content; contents >> content;) {
+      contents_[content].ends_.emplace(incarnation, line.common_time_);
+    }
+  }
+
+  void TakeContent(const LogLine& line) {
+    const std::string content = line.Text("content");
+    if (content.empty()) return;
+    constexpr std::int64_t kFirstFailure = 500;
+    if (line.event_ == "run_started") {
+      contents_[content].starts_.push_back(line.common_time_);
+    } else if (line.event_ == "run_ended" &&
+               line.Number("status") < kFirstFailure) {
+      contents_[content].succeeds_ = true;
+    }
+  }
+
+  void JudgeContent(const std::string& name, ContentView& content) {
+    if (content.succeeds_ || content.ends_.size() < options_.crashes_) return;
+    std::vector<Timestamp> ends;
+    for (const auto& [incarnation, at] : content.ends_) ends.push_back(at);
+    std::sort(ends.begin(), ends.end());
+    std::sort(content.starts_.begin(), content.starts_.end());
+    const double late = CountBetween(
+        content.starts_,
+        ends[options_.crashes_ - 1] + options_.crashes_known_after_,
+        Timestamp::max());
+    if (late <= static_cast<double>(options_.starts_after_crashes_)) return;
+    Report(LogRule::kCrashingContent, name,
+           std::to_string(static_cast<int>(late)) + " runs after " +
+               std::to_string(ends.size()) + " ends");
+  }
+
   void TakeRequest(const LogLine& line, RequestView& request,
                    const HostView& host) {
+    TakeContent(line);
     if (line.event_ == "run_started") {
       TakeStart(line, request, host);
     } else if (line.event_ == "sent" || line.event_ == "resent") {
@@ -192,6 +242,7 @@
   std::map<std::string, RequestView> requests_;
   std::map<std::string, HostView> hosts_;
   std::map<std::string, ServiceView> services_;
+  std::map<std::string, ContentView> contents_;
   LogVerdict verdict_;
 };
 
@@ -215,6 +266,8 @@
       return "configuration went back";
     case LogRule::kSlots:
       return "more runs than slots";
+    case LogRule::kCrashingContent:
+      return "sent on though backend servers ended by it";
     case LogRule::kRetryBudget:
       return "more repeated runs than the retry budget";
   }
--- a/src/relaylog/verify.h
+++ b/src/relaylog/verify.h
@@ -20,6 +20,7 @@
   kWholeAnswer,       // the client got another length than the run's response
   kVersionNeverBack,  // an older document came into force in one process
   kSlots,             // more runs at once than the backend server has slots
+  kCrashingContent,   // run again and again though backend servers end by it
   kRetryBudget,       // more repeated runs of a service than the fleet may send
 };
 
@@ -44,6 +45,11 @@
   double retry_ratio_ = 0.2;
   double retry_slack_ = 48.0;
   Duration retry_window_ = std::chrono::seconds(10);
+  // A content under which so many backend servers have ended, and that nowhere
+  // succeeds, may start so often later than this after the last of them.
+  std::size_t crashes_ = 3;
+  std::size_t starts_after_crashes_ = 3;
+  Duration crashes_known_after_ = std::chrono::seconds(4);
 };
 
 // The retry budget is judged only in logs that hold every request: each host
--- a/src/relaymodel/relay_world.h
+++ b/src/relaymodel/relay_world.h
@@ -27,7 +27,23 @@
 
   // Sends a request to the relay of a host; the handler gets its answer.
   void Send(std::size_t host, const FleetRoute& route, std::string trace_id,
-            Duration remaining, AnswerHandler handler);
+            std::string body, Duration remaining, AnswerHandler handler);
+
+  // Runs with this body end the backend server that begins them; so do, when
+  // it is `carried`, the calls of the runs with the body CarrierOf(body).
+  void AddCrashingBody(const std::string& body) { crashing_bodies_[body] = {}; }
+  static std::string CarrierOf(const std::string& body);
+  struct CrashingRuns {
+    std::vector<Timestamp> began_;
+    std::vector<Timestamp> ended_;  // backend servers
+  };
+  const std::map<std::string, CrashingRuns>& crashing_bodies() const {
+    return crashing_bodies_;
+  }
+
+  // Ends a host's backend server; another incarnation follows. The relay
+  // stays.
+  void CrashBackend(std::size_t host);
 
   // Ends a host's relay and backend server, and starts both again.
   void Kill(std::size_t host);
@@ -92,6 +108,7 @@
   void BeginRun(std::size_t index, StartRun& start);
   // Counts an arrival; true when the backend server rejects it.
   bool Rejects(std::size_t index, const std::string& trace_id);
+  void NoteCrashingRun(std::size_t index, const std::string& body);
   void PrepareRun(std::size_t index, Run& run);
   void ContinueRun(std::size_t index, std::uint64_t run_id);
   void EndRun(std::size_t index, std::uint64_t run_id, int status);
@@ -113,6 +130,7 @@
   std::vector<Connection> connections_;       // by id, never reused
   std::map<std::string, double> rejections_;  // share by service
   std::map<std::string, Arrivals> arrivals_;
+  std::map<std::string, CrashingRuns> crashing_bodies_;
   std::set<std::string> arrived_;  // ids of requests
   std::function<void(const std::string&, Duration)> on_run_end_ =
       [](const auto&, Duration) {};
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -72,6 +72,8 @@
       return "run_broken";
     case DecisionKind::kBackendChanged:
       return "backend_changed";
+    case DecisionKind::kBackendEnded:
+      return "backend_ended";
     case DecisionKind::kPeerChanged:
       return "peer_changed";
     case DecisionKind::kPeersLost:
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -69,6 +69,8 @@
   Counter(text, "runs", counters.runs_);
   Counter(text, "runs_refused", counters.runs_refused_);
   Counter(text, "runs_broken", counters.runs_broken_);
+  Counter(text, "backends_ended", counters.backends_ended_);
+  Counter(text, "backend_probes", counters.backend_probes_);
   Counter(text, "late_replies", counters.late_replies_);
   Counter(text, "store_calls", counters.store_calls_);
   Counter(text, "store_failures", counters.store_failures_);
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -11,6 +11,8 @@
   switch (failure) {
     case Http1Failure::kNotSent:
       return BackendBreak::kNotSent;
+    case Http1Failure::kRefused:
+      return BackendBreak::kRefused;
     case Http1Failure::kBroken:
       return BackendBreak::kBroken;
     case Http1Failure::kMalformed:
@@ -56,6 +58,7 @@
   void operator()(AbortRun& effect) const {
     shell_.backend_.Abort(effect.run_id_);
   }
+  void operator()(ProbeBackend&) const { shell_.backend_.Probe(); }
   void operator()(ReadTable&) const { shell_.store_.read_table_(); }
   void operator()(AwaitTable& effect) const {
     shell_.store_.await_table_(effect.from_, effect.wait_);
@@ -106,6 +109,10 @@
                     [this](std::uint64_t run_id, Http1Failure failure) {
                       Feed(BackendBroke{.run_id_ = run_id,
                                         .break_ = BreakOf(failure)});
+                    },
+                .on_probed_ =
+                    [this](bool refused) {
+                      Feed(BackendProbed{.refused_ = refused});
                     }}),
       links_(options_.link_silence_, LinkHandlers()) {
   wake_.setSingleShot(true);
@@ -212,6 +219,7 @@
                       .parent_trace_id_ = std::move(facts.parent_trace_id_),
                       .host_ = host == nullptr ? "" : *host,
                       .remaining_ = facts.remaining_,
+                      .content_ = facts.content_,
                       .request_ = std::move(request)});
 }
 
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -23,6 +23,7 @@
   std::string trace_id_;
   std::string parent_trace_id_;  // of the run that makes it, as far as told
   std::optional<Duration> remaining_;
+  Fingerprint content_;  // of all but the caller; the same in every attempt
 };
 
 // What a backend server has to be told with a request.
