--- a/src/relaymodel/experiment.cc
+++ b/src/relaymodel/experiment.cc
@@ -19,6 +19,8 @@
 constexpr int kHonouredPart = 3;
 // A refusal is late after this part of the objective.
 constexpr int kLateRefusalPart = 8;
+// Ends of backend servers after which a content must not run.
+constexpr std::size_t kCrashesThatMustStop = 3;
 // Goodput counts as recovered from this part of that before the surge on.
 constexpr double kRecoveredShare = 0.95;
 
@@ -75,6 +77,14 @@
         world_.SetRejection(rejection.service_, 0.0);
       });
     }
+    for (std::size_t i = 0; i < options_.crashing_contents_.size(); ++i) {
+      world_.AddCrashingBody(CrashingBody(i));
+      ScheduleCrashing(i, begin_ + options_.crashing_contents_[i].from_);
+    }
+    result_.crashing_.resize(options_.crashing_contents_.size());
+    for (const FleetCrash& crash : options_.crashes_) {
+      world_.At(begin_ + crash.at_, [this, &crash] { Crash(crash); });
+    }
     constexpr Duration kTail = std::chrono::seconds(6);
     world_.RunUntil(begin_ + options_.length_ + kTail);
     return Judge();
@@ -104,6 +114,75 @@
     });
   }
 
+  static std::string CrashingBody(std::size_t number) {
+    return "crash-" + std::to_string(number);
+  }
+
+  void ScheduleCrashing(std::size_t number, Timestamp at) {
+    const FleetCrashingContent& content = options_.crashing_contents_[number];
+    if (at >= begin_ + content.to_) return;
+    world_.At(at, [this, number] {
+      SendCrashing(number);
+      ScheduleCrashing(
+          number, world_.now() + options_.crashing_contents_[number].every_);
+    });
+  }
+
+  void SendCrashing(std::size_t number) {
+    const FleetCrashingContent& content = options_.crashing_contents_[number];
+    const Fleet& fleet = world_.fleet();
+    const auto route = std::find_if(
+        fleet.routes_.begin(), fleet.routes_.end(),
+        [&](const FleetRoute& r) { return r.name_ == content.route_; });
+    std::vector<std::size_t> hosts;
+    for (std::size_t i = 0; i < fleet.hosts_.size(); ++i) {
+      if (content.caller_.empty() ||
+          fleet.hosts_[i].service_ == content.caller_) {
+        hosts.push_back(i);
+      }
+    }
+    if (route == fleet.routes_.end() || hosts.empty()) return;
+    FleetCrashingResult& result = result_.crashing_[number];
+    ++result.sent_;
+    const std::string body = CrashingBody(number);
+    world_.Send(hosts[NextBelow(world_.random(), hosts.size())], *route,
+                "x" + std::to_string(++last_) + ".1",
+                content.by_call_ ? RelayWorld::CarrierOf(body) : body,
+                route->deadline_, [&result](const Http1Response& response) {
+                  ++result.statuses_[response.status_];
+                });
+  }
+
+  void Crash(const FleetCrash& crash) {
+    const auto& hosts = world_.fleet().hosts_;
+    std::vector<std::size_t> members;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      if (hosts[i].service_ == crash.service_) members.push_back(i);
+    }
+    const auto count = static_cast<std::size_t>(
+        crash.share_ * static_cast<double>(members.size()) + 0.5);
+    for (std::size_t i = 0; i < count; ++i) {
+      const std::size_t chosen = NextBelow(world_.random(), members.size());
+      world_.CrashBackend(members[chosen]);
+      members.erase(members.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+  }
+
+  void JudgeCrashing() {
+    for (std::size_t i = 0; i < result_.crashing_.size(); ++i) {
+      FleetCrashingResult& result = result_.crashing_[i];
+      const auto& runs = world_.crashing_bodies().at(CrashingBody(i));
+      result.runs_ = runs.began_.size();
+      result.ended_ = runs.ended_.size();
+      if (result.ended_ < kCrashesThatMustStop) continue;
+      const Timestamp known =
+          runs.ended_[kCrashesThatMustStop - 1] + kCrashesKnownAfter;
+      result.runs_late_ = static_cast<std::uint64_t>(
+          std::count_if(runs.began_.begin(), runs.began_.end(),
+                        [&](Timestamp at) { return at > known; }));
+    }
+  }
+
   std::size_t SecondOf(Timestamp time) const {
     return static_cast<std::size_t>((time - begin_) / std::chrono::seconds(1));
   }
@@ -127,7 +206,8 @@
     const Duration left =
         request->first_at_ + request->route_->deadline_ - world_.now();
     world_.Send(host, *request->route_,
-                request->root_ + "." + std::to_string(request->attempts_), left,
+                request->root_ + "." + std::to_string(request->attempts_),
+                options_.alike_ ? "" : request->root_, left,
                 [this, request](const Http1Response& response) {
                   OnAnswer(request, response);
                 });
@@ -203,6 +283,7 @@
           result_.repeated_, static_cast<double>(arrivals.repeated_) / first);
     }
     result_.recovery_seconds_ = Recovery();
+    JudgeCrashing();
     return std::move(result_);
   }
 
--- a/src/relaymodel/fleet_types.h
+++ b/src/relaymodel/fleet_types.h
@@ -75,11 +75,36 @@
   double share_ = 0.0;
 };
 
+// A content that ends every backend server that begins to run it. It comes
+// again and again, under new ids, at any host.
+struct FleetCrashingContent {
+  std::string route_;
+  Duration from_ = Duration::zero();
+  Duration to_ = Duration::zero();
+  Duration every_ = std::chrono::seconds(1);
+  // It is carried by the calls that a run of the route makes, and ends the
+  // backend servers that run these.
+  bool by_call_ = false;
+  // Only hosts of this service send it; empty: all do.
+  std::string caller_;
+};
+
+// Part of the backend servers of a service end, whatever they run.
+struct FleetCrash {
+  std::string service_;
+  Duration at_ = Duration::zero();
+  double share_ = 0.0;
+};
+
 struct FleetRunOptions {
   std::uint64_t seed_ = 1;
   Duration length_ = std::chrono::seconds(20);
   std::vector<FleetSurge> surges_;
   std::vector<FleetRejection> rejections_;
+  std::vector<FleetCrashingContent> crashing_contents_;
+  std::vector<FleetCrash> crashes_;
+  // All requests of a route are alike; else no two are.
+  bool alike_ = true;
   double base_factor_ = 1.0;
   double honours_retry_after_ = 0.5;  // share of clients; others return at once
   int retries_ = 1;                   // of a client
@@ -94,8 +119,22 @@
   std::uint64_t failed_ = 0;
 };
 
+// What one crashing content did.
+struct FleetCrashingResult {
+  std::uint64_t sent_ = 0;   // by clients
+  std::uint64_t runs_ = 0;   // begun
+  std::uint64_t ended_ = 0;  // backend servers
+  // Runs begun later than kCrashesKnownAfter after the third end.
+  std::uint64_t runs_late_ = 0;
+  std::map<int, std::uint64_t> statuses_;  // that its clients got
+};
+
+// Time after the third end from which on a crashing content must not run.
+inline constexpr Duration kCrashesKnownAfter = std::chrono::seconds(4);
+
 struct FleetResult {
   std::map<std::string, FleetRouteResult> routes_;
+  std::vector<FleetCrashingResult> crashing_;  // in the order of the options
   double worth_share_ = 0.0;   // of the worth that was asked for
   double refused_late_ = 0.0;  // share of refusals after an eighth of the
                                // objective
