Relay: what begins on a dead connection is not charged with the end

Cause: a request whose backend server ended is sent again at once. Where the next one has ended in the same wave, and its host has not yet seen the ends of its kept connections, the run is written to a dead connection and counts as one that ran there: a second, distinct end for an innocent.

Change: every request, not only those that must not be repeated, looks at a kept connection before it uses it, so that a dead one leads to a refused connection and a run that is known not to have begun; and what began after the first break that no sign of life followed is not charged. The parameter 'once' is gone. Tests: RunsThatBeganAfterTheEndAreNotCharged, EndsThatWereNotSeenYetCostNoRequest, ProbesTellWhetherAServerListens.

--- a/src/http/backend_client.cc
+++ b/src/http/backend_client.cc
@@ -37,8 +37,7 @@
 void BackendClient::Run(const RunBackend& run, Duration remaining) {
   waiting_.push_back(
       {.run_id_ = run.run_id_,
-       .request_ = MakeBackendRequest(run, options_.address_, remaining),
-       .once_ = !run.context_.idempotent_});
+       .request_ = MakeBackendRequest(run, options_.address_, remaining)});
   SendNext();
 }
 
@@ -47,7 +46,7 @@
     const Waiting next = std::move(waiting_.front());
     waiting_.pop_front();
     ++in_flight_;
-    client_.Send(next.run_id_, next.request_, next.once_);
+    client_.Send(next.run_id_, next.request_);
   }
 }
 
--- a/src/http/backend_client.h
+++ b/src/http/backend_client.h
@@ -35,7 +35,6 @@
   struct Waiting {
     std::uint64_t run_id_ = 0;
     Http1Request request_;
-    bool once_ = false;
   };
 
   void SendNext();
--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -64,12 +64,12 @@
   while (!idle_.empty()) Remove(*idle_.back());
 }
 
-Http1Client::Connection* Http1Client::TakeIdle(bool once) {
+Http1Client::Connection* Http1Client::TakeIdle() {
   const auto now = Clock::now();
   while (!idle_.empty()) {
     Connection* connection = idle_.back();
     if (connection->idle_until_ > now &&
-        !(once && connection->socket_->HasPendingEnd())) {
+        !connection->socket_->HasPendingEnd()) {
       idle_.pop_back();
       return connection;
     }
@@ -103,9 +103,8 @@
   return connection;
 }
 
-void Http1Client::Send(std::uint64_t call_id, const Http1Request& request,
-                       bool once) {
-  Connection* connection = TakeIdle(once);
+void Http1Client::Send(std::uint64_t call_id, const Http1Request& request) {
+  Connection* connection = TakeIdle();
   if (connection == nullptr) connection = OpenNew();
   if (connection == nullptr) {
     QTimer::singleShot(0, this, [this, call_id] {
--- a/src/http1/http1_client.h
+++ b/src/http1/http1_client.h
@@ -57,11 +57,9 @@
   // Address for new connections; kept ones to another address are closed.
   void SetAddress(const std::string& address);
 
-  // Sends a request. `call_id` is unique among open calls. `once` is for
-  // requests that must not be sent again: a kept connection is looked at for
-  // an end that the event loop has not seen yet.
-  void Send(std::uint64_t call_id, const Http1Request& request,
-            bool once = false);
+  // Sends a request. `call_id` is unique among open calls. A kept connection is
+  // looked at for an end that the event loop has not seen yet.
+  void Send(std::uint64_t call_id, const Http1Request& request);
 
   // Opens a connection to learn whether the server still listens. It is kept
   // for a later request.
@@ -76,7 +74,7 @@
  private:
   struct Connection;
 
-  Connection* TakeIdle(bool once);
+  Connection* TakeIdle();
   Connection* OpenNew();
   void EndProbe(Connection& connection, bool refused);
   void OnData(Connection& connection);
--- a/src/http1/tests/connection_tests.cc
+++ b/src/http1/tests/connection_tests.cc
@@ -199,6 +199,8 @@
   CPPUNIT_TEST_SUITE(ConnectionTests);
   CPPUNIT_TEST(TellsWholeResponsesFromBrokenOnes);
   CPPUNIT_TEST(RefusedConnectionsSentNothing);
+  CPPUNIT_TEST(EndsThatWereNotSeenYetCostNoRequest);
+  CPPUNIT_TEST(ProbesTellWhetherAServerListens);
   CPPUNIT_TEST(BackendServerThatSendsWithoutEndHarmsNobodyElse);
   CPPUNIT_TEST(ClientThatSendsWithoutEndHarmsNobodyElse);
   CPPUNIT_TEST(ServerAnswersRequestsSentAheadInOrder);
@@ -370,6 +372,67 @@
     }
   }
 
+  // The server has restarted since the last turn of the event loop.
+  void EndsThatWereNotSeenYetCostNoRequest() {
+    EnsureApplication();
+    const std::string address = FreeAddress();
+    std::unique_ptr<Http1Server> server;
+    const auto start = [&] {
+      server.reset();
+      server = std::make_unique<Http1Server>(
+          Http1ServerOptions{},
+          Http1Server::Handlers{.on_request_ =
+                                    [&](std::uint64_t id, const Http1Request&) {
+                                      server->Answer(id, {.status_ = 200});
+                                    },
+                                .on_client_gone_ = [](std::uint64_t) {}});
+      CPPUNIT_ASSERT(server->Listen(address));
+    };
+    QEventLoop loop;
+    Outcome outcome;
+    Http1Client client({},
+                       {.on_response_ =
+                            [&](std::uint64_t, const Http1Response& response) {
+                              outcome.status_ = response.status_;
+                              loop.quit();
+                            },
+                        .on_failure_ =
+                            [&](std::uint64_t, Http1Failure failure) {
+                              outcome.failure_ = failure;
+                              loop.quit();
+                            }});
+    client.SetAddress(address);
+    for (std::uint64_t call = 1; call <= 3; ++call) {
+      start();
+      CPPUNIT_ASSERT_EQUAL(200, Call(client, loop, outcome, call).status_);
+    }
+  }
+
+  void ProbesTellWhetherAServerListens() {
+    EnsureApplication();
+    for (const bool listens : {true, false}) {
+      const std::string address = FreeAddress();
+      Http1Server server({}, {.on_request_ = [](std::uint64_t, auto&&) {},
+                              .on_client_gone_ = [](std::uint64_t) {}});
+      if (listens) CPPUNIT_ASSERT(server.Listen(address));
+      std::optional<bool> refused;
+      QEventLoop loop;
+      Http1Client client({}, {.on_response_ = {},
+                              .on_failure_ = {},
+                              .on_probed_ = [&](bool answer) {
+                                refused = answer;
+                                loop.quit();
+                              }});
+      client.SetAddress(address);
+      client.Probe();
+      loop.exec();
+      CPPUNIT_ASSERT_EQUAL(!listens, *refused);
+      // The connection is kept for a later request.
+      CPPUNIT_ASSERT_EQUAL(std::size_t{listens ? 1U : 0U},
+                           client.open_connections());
+    }
+  }
+
   void RefusedConnectionsSentNothing() {
     EnsureApplication();
     const std::string address = FreeAddress();
--- a/src/relay/internal/crash_evidence.cc
+++ b/src/relay/internal/crash_evidence.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "relay/internal/relay_step.h"
 #include "relay/internal/request_log.h"
@@ -17,6 +18,7 @@
           .content_ = run.order_.content_,
           .caller_service_ = run.order_.caller_service_,
           .connection_id_ = run.connection_id_,
+          .started_at_ = run.started_at_,
           .ended_at_ = now};
 }
 
@@ -39,6 +41,7 @@
 
 void SuspectEnd(RelayStep& step) {
   CrashEvidence& evidence = step.state_.crash_evidence_;
+  if (!evidence.broke_at_) evidence.broke_at_ = step.now_;
   if (step.state_.backend_.state_ != BackendState::kReady) return;
   if (evidence.probing_) {
     evidence.probe_again_ = true;
@@ -75,6 +78,13 @@
   }
   std::erase_if(unanswered,
                 [&](const UnansweredRun& run) { return RanOn(run, backend); });
+  // What began after the end found a dead connection, and caused nothing.
+  const auto broke_at = std::exchange(state.crash_evidence_.broke_at_, {});
+  if (broke_at) {
+    std::erase_if(runs, [&](const UnansweredRun& run) {
+      return run.started_at_ > *broke_at;
+    });
+  }
   if (runs.empty()) return;
   ++state.counters_.backends_ended_;
   LogBackendEnded(step, how, runs);
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -118,7 +118,6 @@
                .address_ = step.options_.backend_address_,
                .instance_ = run.order_.instance_,
                .caller_service_ = run.order_.caller_service_,
-               .idempotent_ = run.order_.idempotent_,
                .remaining_ = run.deadline_ - step.now_,
                .request_ = run.order_.request_});
 }
--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -76,6 +76,7 @@
   backend.sequence_ = heard.sequence_;
   backend.slots_ = heard.slots_;
   backend.heard_at_ = step.now_;
+  step.state_.crash_evidence_.broke_at_.reset();
   const BackendState state =
       heard.draining_ ? BackendState::kDraining : BackendState::kReady;
   if (state != backend.state_ || replaced || resized) {
@@ -130,6 +131,7 @@
     evidence.probe_again_ = false;
     return OnBackendRefused(step);
   }
+  evidence.broke_at_.reset();
   if (!evidence.probe_again_) return;
   evidence.probe_again_ = false;
   SuspectEnd(step);
--- a/src/relay/internal/suspects.cc
+++ b/src/relay/internal/suspects.cc
@@ -77,15 +77,14 @@
                    step.now_, charge.content_, charge.caller_);
   // One charge changes nothing yet.
   if (verdict.standing_ == Standing::kTrusted) return;
-  step.effects_.emplace_back(
-      Decision{.kind_ = DecisionKind::kContentCharged,
-               .trace_id_ = {},
-               .inputs_ = {{"content", FormatFingerprint(charge.content_)},
-                           {"charges", std::int64_t{verdict.charges_}},
-                           {"standing",
-                            std::string(StandingName(verdict.standing_))},
-                           {"age_us", charge.age_.count()},
-                           {"from", from}}});
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kContentCharged,
+      .trace_id_ = {},
+      .inputs_ = {{"content", FormatFingerprint(charge.content_)},
+                  {"charges", std::int64_t{verdict.charges_}},
+                  {"standing", std::string(StandingName(verdict.standing_))},
+                  {"age_us", charge.age_.count()},
+                  {"from", from}}});
 }
 
 // Takes a charge over. True when it was news.
@@ -149,9 +148,8 @@
                                  .age_ = step.now_ - charge.at_});
     }
     for (const auto& [caller, at] : suspect.cleared_) {
-      room().clearances_.push_back({.content_ = content,
-                                    .caller_ = caller,
-                                    .age_ = step.now_ - at});
+      room().clearances_.push_back(
+          {.content_ = content, .caller_ = caller, .age_ = step.now_ - at});
     }
   }
   if (IsEmpty(notices.back())) notices.pop_back();
@@ -193,7 +191,7 @@
 }  // namespace
 
 ContentVerdict JudgeContentOf(const RelayStep& step, const Fingerprint& content,
-                       const std::string& caller_service) {
+                              const std::string& caller_service) {
   const SuspicionState& known = step.state_.content_watch_.known_;
   if (known.suspects_.empty() || !content.known()) return {};
   return JudgeContent(known, step.options_.suspicion_, step.now_, content,
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -50,7 +50,6 @@
   std::string address_;
   std::string instance_;
   std::string caller_service_;
-  bool idempotent_ = false;
   Duration remaining_ = Duration::zero();
   Http1Request request_;
 };
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -174,6 +174,7 @@
   Fingerprint content_;
   std::string caller_service_;
   std::uint64_t connection_id_ = 0;  // of its entry; 0: the own one
+  Timestamp started_at_;
   Timestamp ended_at_;
 };
 
@@ -181,6 +182,8 @@
 // what it was running then.
 struct CrashEvidence {
   std::deque<UnansweredRun> unanswered_;  // oldest first
+  // First break after the last sign of life.
+  std::optional<Timestamp> broke_at_;
   bool probing_ = false;
   bool probe_again_ = false;  // a run broke while a probe was under way
 };
--- a/src/relay/tests/crash_evidence_tests.cc
+++ b/src/relay/tests/crash_evidence_tests.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(OnlyTheEndOfAnIncarnationIsACrash);
   CPPUNIT_TEST(BrokenRunsNameTheirContent);
   CPPUNIT_TEST(BreaksDuringAProbeLeadToAnother);
+  CPPUNIT_TEST(RunsThatBeganAfterTheEndAreNotCharged);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -172,6 +173,42 @@
     CPPUNIT_ASSERT_EQUAL(std::string("other"), TextOf(*broken, "caller"));
   }
 
+  // Runs that begin between a break and what tells of the end find a dead
+  // connection. In a wave of ends, requests that are sent again would be
+  // charged at each place they reach.
+  void RunsThatBeganAfterTheEndAreNotCharged() {
+    struct Row {
+      const char* name_;
+      bool still_listened_;  // after the break
+      std::size_t charged_;
+    };
+    for (const Row& row : {Row{"dead at once", false, 1},
+                           Row{"only an answer was lost", true, 2}}) {
+      Host host;
+      host.Break();
+      if (row.still_listened_) host.bench_.Feed(BackendProbed{});
+      host.bench_.Pass(milliseconds(10));
+      host.bench_.Feed(
+          LinkReceived{.connection_id_ = kEntryConnection,
+                       .message_ = RunOrder{.send_id_ = 2,
+                                            .trace_id_ = "t2",
+                                            .instance_ = "i-1",
+                                            .route_ = "read",
+                                            .content_ = {.high_ = 3},
+                                            .remaining_ = seconds(1)}});
+      const auto runs = host.bench_.Take<StartRun>();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs.size());
+      host.bench_.Feed(BackendBroke{.run_id_ = runs.front().run_id_});
+      host.bench_.Feed(BackendProbed{.refused_ = true});
+      const auto ended = host.TakeDecision(DecisionKind::kBackendEnded);
+      CPPUNIT_ASSERT(ended.has_value());
+      const std::string contents = TextOf(*ended, "contents");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          row.name_, row.charged_,
+          (contents.size() + 1) / (kFingerprintDigits + 1));
+    }
+  }
+
   // The connection that the first probe opens may be older than the end.
   void BreaksDuringAProbeLeadToAnother() {
     Host host;
--- a/src/relay/tests/suspect_tests.cc
+++ b/src/relay/tests/suspect_tests.cc
@@ -19,10 +19,8 @@
 SuspicionNotice Ends(std::uint64_t count, Duration age = {}) {
   SuspicionNotice notice;
   for (std::uint64_t i = 1; i <= count; ++i) {
-    notice.charges_.push_back({.content_ = kContent,
-                               .caller_ = 5,
-                               .incarnation_ = i,
-                               .age_ = age});
+    notice.charges_.push_back(
+        {.content_ = kContent, .caller_ = 5, .incarnation_ = i, .age_ = age});
   }
   return notice;
 }
@@ -44,18 +42,18 @@
 
   // A notice of the first host.
   void Hear(const SuspicionNotice& notice) {
-    bench_.Feed(LinkReceived{.connection_id_ = kFirstConnection,
-                             .message_ = notice});
+    bench_.Feed(
+        LinkReceived{.connection_id_ = kFirstConnection, .message_ = notice});
   }
 
   void Request(std::uint64_t id, const char* target) {
-    bench_.Feed(RequestArrived{
-        .request_id_ = id,
-        .trace_id_ = "t" + std::to_string(id),
-        .host_ = "h",
-        .remaining_ = milliseconds(900),
-        .content_ = kContent,
-        .request_ = {.method_ = "GET", .target_ = target}});
+    bench_.Feed(
+        RequestArrived{.request_id_ = id,
+                       .trace_id_ = "t" + std::to_string(id),
+                       .host_ = "h",
+                       .remaining_ = milliseconds(900),
+                       .content_ = kContent,
+                       .request_ = {.method_ = "GET", .target_ = target}});
   }
 
   // An order for the own backend server.
@@ -190,8 +188,8 @@
          true, 0},
         {"two ends, answer lost", 2, RunOutcome::kBroken, NotRunReason::kNone,
          false, 502},
-        {"three ends, answer lost", 3, RunOutcome::kBroken,
-         NotRunReason::kNone, false, 502},
+        {"three ends, answer lost", 3, RunOutcome::kBroken, NotRunReason::kNone,
+         false, 502},
         {"three ends, not run", 3, RunOutcome::kNotRun,
          NotRunReason::kOverloaded, false, 503},
         {"kept back by the host", 0, RunOutcome::kNotRun,
@@ -323,8 +321,8 @@
       CPPUNIT_ASSERT(notice.charges_.front().content_ == kContent);
     }
     CPPUNIT_ASSERT_EQUAL(
-        0U, ChargesAgainst(fleet.bench_.state().content_watch_.known_,
-                           kHarmless));
+        0U,
+        ChargesAgainst(fleet.bench_.state().content_watch_.known_, kHarmless));
   }
 
   void SuccessIsToldWhereItTakesChargesBack() {
@@ -375,11 +373,10 @@
       bool knows_;
       bool told_;
     };
-    for (const Row& row : {Row{"nothing in force", 0, false, false},
-                           Row{"one end", 1, false, false},
-                           Row{"two ends", 2, false, true},
-                           Row{"three ends", 3, false, true},
-                           Row{"it knows", 3, true, false}}) {
+    for (const Row& row :
+         {Row{"nothing in force", 0, false, false},
+          Row{"one end", 1, false, false}, Row{"two ends", 2, false, true},
+          Row{"three ends", 3, false, true}, Row{"it knows", 3, true, false}}) {
       Fleet fleet;
       fleet.Hear(Ends(row.ends_));
       fleet.bench_.Pass(seconds(1));
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -53,7 +53,7 @@
                                   .caller_service_ = effect.caller_service_,
                                   .remaining_ = effect.remaining_});
     shell_.backend_.SetAddress(effect.address_);
-    shell_.backend_.Send(effect.run_id_, effect.request_, !effect.idempotent_);
+    shell_.backend_.Send(effect.run_id_, effect.request_);
   }
   void operator()(AbortRun& effect) const {
     shell_.backend_.Abort(effect.run_id_);
--- a/src/suspicion/suspicion.cc
+++ b/src/suspicion/suspicion.cc
@@ -99,14 +99,14 @@
   if (state.suspects_.size() < options.max_suspects_) return;
   ForgetOldCharges(state, options, now);
   if (state.suspects_.size() < options.max_suspects_) return;
-  const auto lightest = std::min_element(
-      state.suspects_.begin(), state.suspects_.end(),
-      [](const auto& a, const auto& b) {
-        const Weight left = WeightOf(a.second);
-        const Weight right = WeightOf(b.second);
-        return std::tie(left.incarnations_, left.newest_) <
-               std::tie(right.incarnations_, right.newest_);
-      });
+  const auto lightest =
+      std::min_element(state.suspects_.begin(), state.suspects_.end(),
+                       [](const auto& a, const auto& b) {
+                         const Weight left = WeightOf(a.second);
+                         const Weight right = WeightOf(b.second);
+                         return std::tie(left.incarnations_, left.newest_) <
+                                std::tie(right.incarnations_, right.newest_);
+                       });
   RemoveCharges(state, options, lightest->first, lightest->second,
                 [](const CrashCharge&) { return true; });
   state.suspects_.erase(lightest);
@@ -129,11 +129,12 @@
       charge.at_ <= cleared->second + kNoticeSkew) {
     return false;
   }
-  const bool known = std::any_of(
-      suspect.charges_.begin(), suspect.charges_.end(), [&](const CrashCharge& c) {
-        return c.incarnation_ == charge.incarnation_ &&
-               c.caller_ == charge.caller_;
-      });
+  const bool known =
+      std::any_of(suspect.charges_.begin(), suspect.charges_.end(),
+                  [&](const CrashCharge& c) {
+                    return c.incarnation_ == charge.incarnation_ &&
+                           c.caller_ == charge.caller_;
+                  });
   if (known) return false;
   const bool full = suspect.charges_.size() >= kMaxCharges;
   const auto oldest = std::min_element(
@@ -164,9 +165,10 @@
   const auto [cleared, added] = suspect.cleared_.try_emplace(caller, at);
   const bool news = added || at > cleared->second + options.charge_memory_ / 2;
   cleared->second = std::max(cleared->second, at);
-  RemoveCharges(state, options, content, suspect, [&](const CrashCharge& charge) {
-    return charge.caller_ == caller && charge.at_ <= at + kNoticeSkew;
-  });
+  RemoveCharges(
+      state, options, content, suspect, [&](const CrashCharge& charge) {
+        return charge.caller_ == caller && charge.at_ <= at + kNoticeSkew;
+      });
   if (suspect.cleared_.size() > kMaxCleared) {
     const auto oldest = std::min_element(
         suspect.cleared_.begin(), suspect.cleared_.end(),
@@ -220,8 +222,8 @@
 }
 
 ContentVerdict JudgeContent(const SuspicionState& state,
-                     const SuspicionOptions& options, Timestamp now,
-                     const Fingerprint& content, std::uint64_t caller) {
+                            const SuspicionOptions& options, Timestamp now,
+                            const Fingerprint& content, std::uint64_t caller) {
   const auto found = state.suspects_.find(content);
   if (found == state.suspects_.end()) return {};
   const Suspect& suspect = found->second;
@@ -262,11 +264,12 @@
     Suspect& suspect = it->second;
     const Weight weight = WeightOf(suspect);
     const bool condemned = weight.incarnations_ >= options.condemn_from_;
-    const Duration memory = condemned ? 2 * CondemnedFor(options, weight)
-                                      : options.charge_memory_;
-    RemoveCharges(state, options, it->first, suspect, [&](const CrashCharge& charge) {
-      return now - (condemned ? weight.newest_ : charge.at_) >= memory;
-    });
+    const Duration memory =
+        condemned ? 2 * CondemnedFor(options, weight) : options.charge_memory_;
+    RemoveCharges(
+        state, options, it->first, suspect, [&](const CrashCharge& charge) {
+          return now - (condemned ? weight.newest_ : charge.at_) >= memory;
+        });
     std::erase_if(suspect.cleared_, [&](const auto& cleared) {
       return now - cleared.second >= options.charge_memory_;
     });
--- a/src/suspicion/suspicion.h
+++ b/src/suspicion/suspicion.h
@@ -37,8 +37,8 @@
                      const Fingerprint& content, std::uint64_t caller);
 
 ContentVerdict JudgeContent(const SuspicionState& state,
-                     const SuspicionOptions& options, Timestamp now,
-                     const Fingerprint& content, std::uint64_t caller);
+                            const SuspicionOptions& options, Timestamp now,
+                            const Fingerprint& content, std::uint64_t caller);
 
 // Distinct incarnations that a content is charged with.
 std::uint32_t ChargesAgainst(const SuspicionState& state,
--- a/src/suspicion/tests/suspicion_tests.cc
+++ b/src/suspicion/tests/suspicion_tests.cc
@@ -1,5 +1,3 @@
-#include "suspicion/suspicion.h"
-
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
@@ -7,6 +5,7 @@
 #include <string>
 
 #include "base/hashing.h"
+#include "suspicion/suspicion.h"
 
 namespace jujubefront {
 namespace {
