Relay: a run that was never sent is not charged with the end of its backend server

A host whose backend server has ended, and that runs nothing, learns of the end by the next order: its connection is refused. All orders that came with it were taken for runs in progress and charged, though not a byte of them had left.

Now runs that are open when the end becomes known are charged when they break, and not when their connection is refused. Where only a new incarnation tells of the end, what began after the next heartbeat was due is not charged either.

--- a/src/relay/internal/crash_evidence.cc
+++ b/src/relay/internal/crash_evidence.cc
@@ -22,17 +22,28 @@
           .ended_at_ = now};
 }
 
-bool RanOn(const UnansweredRun& run, const OwnBackend& backend) {
-  return run.instance_ == backend.instance_ &&
-         run.backend_started_at_ms_ == backend.started_at_ms_;
+bool RanOn(const UnansweredRun& run, const std::string& instance,
+           std::int64_t started_at_ms) {
+  return run.instance_ == instance &&
+         run.backend_started_at_ms_ == started_at_ms;
+}
+
+void Report(RelayStep& step, const std::vector<UnansweredRun>& runs) {
+  if (runs.empty()) return;
+  LogBackendEnded(step, runs);
+  ChargeRuns(step, runs);
 }
 
 }  // namespace
 
 void NoteUnanswered(RelayStep& step, const OpenRun& run) {
-  if (run.backend_ended_) return;
-  auto& unanswered = step.state_.crash_evidence_.unanswered_;
-  unanswered.push_back(Describe(run, step.now_));
+  CrashEvidence& evidence = step.state_.crash_evidence_;
+  UnansweredRun noted = Describe(run, step.now_);
+  if (RanOn(noted, evidence.ended_.instance_, evidence.ended_.started_at_ms_)) {
+    return Report(step, {std::move(noted)});
+  }
+  auto& unanswered = evidence.unanswered_;
+  unanswered.push_back(std::move(noted));
   while (unanswered.size() > kMaxUnanswered ||
          step.now_ - unanswered.front().ended_at_ > kUnansweredMemory) {
     unanswered.pop_front();
@@ -52,43 +63,35 @@
   step.effects_.emplace_back(ProbeBackend{});
 }
 
-void OnBackendEnded(RelayStep& step, Timestamp since, std::string_view how) {
-  RelayState& state = step.state_;
-  const OwnBackend& backend = state.backend_;
+void OnBackendEnded(RelayStep& step, const EndedWindow& window,
+                    std::string_view how) {
+  CrashEvidence& evidence = step.state_.crash_evidence_;
+  const OwnBackend& backend = step.state_.backend_;
   // Who said that it leaves may break off what it has not finished.
   if (backend.state_ == BackendState::kDraining ||
       backend.state_ == BackendState::kGone) {
     return;
   }
-  std::vector<UnansweredRun> runs;
-  for (auto& [run_id, run] : state.runs_) {
-    if (!run.started_ || run.backend_ended_) continue;
-    UnansweredRun open = Describe(run, step.now_);
-    if (!RanOn(open, backend)) continue;
-    run.backend_ended_ = true;
-    runs.push_back(std::move(open));
-  }
-  std::sort(runs.begin(), runs.end(),
-            [](const UnansweredRun& a, const UnansweredRun& b) {
-              return a.trace_id_ < b.trace_id_;
-            });
-  auto& unanswered = state.crash_evidence_.unanswered_;
-  for (const UnansweredRun& run : unanswered) {
-    if (run.ended_at_ >= since && RanOn(run, backend)) runs.push_back(run);
-  }
-  std::erase_if(unanswered,
-                [&](const UnansweredRun& run) { return RanOn(run, backend); });
+  // Runs that are still open have ended with it if they break, and not if they
+  // turn out never to have been sent.
+  evidence.ended_ = {.instance_ = backend.instance_,
+                     .started_at_ms_ = backend.started_at_ms_,
+                     .how_ = how};
   // What began after the end found a dead connection, and caused nothing.
-  const auto broke_at = std::exchange(state.crash_evidence_.broke_at_, {});
-  if (broke_at) {
-    std::erase_if(runs, [&](const UnansweredRun& run) {
-      return run.started_at_ > *broke_at;
-    });
+  const Timestamp last_start =
+      std::min(window.last_start_, evidence.broke_at_.value_or(step.now_));
+  evidence.broke_at_.reset();
+  std::vector<UnansweredRun> runs;
+  for (UnansweredRun& run : evidence.unanswered_) {
+    const bool within =
+        run.ended_at_ >= window.first_end_ && run.started_at_ <= last_start;
+    if (within && RanOn(run, backend.instance_, backend.started_at_ms_)) {
+      runs.push_back(std::move(run));
+    }
   }
-  if (runs.empty()) return;
-  ++state.counters_.backends_ended_;
-  LogBackendEnded(step, how, runs);
-  ChargeRuns(step, runs);
+  evidence.unanswered_.clear();
+  if (!runs.empty()) ++step.state_.counters_.backends_ended_;
+  Report(step, runs);
 }
 
 }  // namespace jujubefront
--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -65,7 +65,12 @@
   const bool replaced = heard.instance_ != backend.instance_ ||
                         heard.started_at_ms_ != backend.started_at_ms_;
   if (replaced) {
-    OnBackendEnded(step, backend.heard_at_ - kLateHeartbeat, "new incarnation");
+    // It ended before its next heartbeat was due.
+    OnBackendEnded(step,
+                   {.first_end_ = backend.heard_at_ - kLateHeartbeat,
+                    .last_start_ = backend.heard_at_ + kLateHeartbeat +
+                                   step.options_.heartbeat_interval_},
+                   "new incarnation");
     step.state_.run_stats_.clear();
     backend.state_ = BackendState::kUnknown;
   }
@@ -77,6 +82,7 @@
   backend.slots_ = heard.slots_;
   backend.heard_at_ = step.now_;
   step.state_.crash_evidence_.broke_at_.reset();
+  if (!replaced) step.state_.crash_evidence_.ended_ = {};
   const BackendState state =
       heard.draining_ ? BackendState::kDraining : BackendState::kReady;
   if (state != backend.state_ || replaced || resized) {
@@ -120,7 +126,10 @@
 
 void OnBackendRefused(RelayStep& step) {
   if (step.state_.backend_.state_ != BackendState::kReady) return;
-  OnBackendEnded(step, step.now_ - kRefusalWindow, "connection refused");
+  OnBackendEnded(
+      step,
+      {.first_end_ = step.now_ - kRefusalWindow, .last_start_ = step.now_},
+      "connection refused");
   OnBackendUnreachable(step);
 }
 
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -86,9 +86,15 @@
 void NoteUnanswered(RelayStep& step, const OpenRun& run);
 // A run has broken: the backend server may have ended.
 void SuspectEnd(RelayStep& step);
-// The present incarnation has ended without notice. What has ended without a
-// response since then, and what is open, was running there.
-void OnBackendEnded(RelayStep& step, Timestamp since, std::string_view how);
+// Runs that may have been in progress when an incarnation ended: those that
+// ended without a response since then, and had begun by then.
+struct EndedWindow {
+  Timestamp first_end_;
+  Timestamp last_start_;
+};
+// The present incarnation has ended without notice.
+void OnBackendEnded(RelayStep& step, const EndedWindow& window,
+                    std::string_view how);
 
 // Contents that may end backend servers.
 ContentVerdict JudgeContentOf(const RelayStep& step, const Fingerprint& content,
--- a/src/relay/internal/request_log.cc
+++ b/src/relay/internal/request_log.cc
@@ -170,23 +170,23 @@
   step.effects_.emplace_back(std::move(decision));
 }
 
-void LogBackendEnded(RelayStep& step, std::string_view how,
-                     const std::vector<UnansweredRun>& runs) {
+void LogBackendEnded(RelayStep& step, const std::vector<UnansweredRun>& runs) {
   std::string contents;
   for (const UnansweredRun& run : runs) {
     if (!run.content_.known()) continue;
     if (contents.size() / (kFingerprintDigits + 1) == kMostNamed) break;
     contents += (contents.empty() ? "" : " ") + FormatFingerprint(run.content_);
   }
+  const EndedBackend& ended = step.state_.crash_evidence_.ended_;
   const OwnBackend& backend = step.state_.backend_;
   step.effects_.emplace_back(Decision{
       .kind_ = DecisionKind::kBackendEnded,
       .trace_id_ = {},
       .inputs_ = {
-          {"instance", backend.instance_},
-          {"started_at_ms", backend.started_at_ms_},
+          {"instance", ended.instance_},
+          {"started_at_ms", ended.started_at_ms_},
           {"service", backend.service_},
-          {"how", std::string(how)},
+          {"how", std::string(ended.how_)},
           {"runs", static_cast<std::int64_t>(runs.size())},
           {"contents", contents},
           {"heartbeat_age_us", Microseconds(step.now_ - backend.heard_at_)}}});
--- a/src/relay/internal/request_log.h
+++ b/src/relay/internal/request_log.h
@@ -32,8 +32,7 @@
 void LogRunBroken(RelayStep& step, const OpenRun& run, std::string_view why);
 
 // The own backend server has ended without notice while it ran these.
-void LogBackendEnded(RelayStep& step, std::string_view how,
-                     const std::vector<UnansweredRun>& runs);
+void LogBackendEnded(RelayStep& step, const std::vector<UnansweredRun>& runs);
 
 std::string_view ReasonText(NotRunReason reason);
 
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -160,7 +160,6 @@
   Timestamp started_at_;
   bool started_ = false;
   std::int64_t backend_started_at_ms_ = 0;  // of the incarnation that runs it
-  bool backend_ended_ = false;              // that incarnation, without notice
   bool calls_failed_ = false;
   std::uint32_t rejections_ = 0;                // by the own backend server
   std::map<std::string, std::uint32_t> calls_;  // that named it, by route
@@ -178,9 +177,17 @@
   Timestamp ended_at_;
 };
 
+// An incarnation of a backend server that has ended without notice.
+struct EndedBackend {
+  std::string instance_;
+  std::int64_t started_at_ms_ = 0;
+  std::string_view how_;  // that is known
+};
+
 // What may show that an incarnation of the own backend server has ended, and
 // what it was running then.
 struct CrashEvidence {
+  EndedBackend ended_;                    // the last one
   std::deque<UnansweredRun> unanswered_;  // oldest first
   // First break after the last sign of life.
   std::optional<Timestamp> broke_at_;
