--- a/apps/relaymodel/main.cc
+++ b/apps/relaymodel/main.cc
@@ -81,6 +81,21 @@
   std::fflush(stdout);
 }
 
+void PrintCrashing(const FleetResult& result) {
+  for (const FleetCrashingResult& crashing : result.crashing_) {
+    std::printf(
+        "crashing content: %llu sent, %llu runs, %llu ends, %llu runs late; "
+        "%llu other requests refused for it, %llu notices with %llu entries\n",
+        static_cast<unsigned long long>(crashing.sent_),
+        static_cast<unsigned long long>(crashing.runs_),
+        static_cast<unsigned long long>(crashing.ended_),
+        static_cast<unsigned long long>(crashing.runs_late_),
+        static_cast<unsigned long long>(result.innocents_refused_),
+        static_cast<unsigned long long>(result.notices_),
+        static_cast<unsigned long long>(result.charges_told_));
+  }
+}
+
 ReportChart ChartOf(const Fleet& fleet,
                     const std::vector<FleetPolicy>& policies,
                     const std::map<std::string, FleetResult>& results) {
@@ -136,6 +151,20 @@
          .to_ = length * 5 / 8,
          .share_ = arguments["rejected"].as<double>()}};
   }
+  if (arguments.count("crashing") > 0) {
+    options.alike_ = false;
+    options.crashing_contents_ = {
+        {.route_ = arguments["crashing"].as<std::string>(),
+         .from_ = length / 8,
+         .to_ = length,
+         .every_ = std::chrono::milliseconds(
+             arguments["crashing-every"].as<std::uint32_t>())}};
+  }
+  const double restarted = arguments["restarted"].as<double>();
+  if (restarted > 0.0) {
+    options.restarts_ = {{.at_ = length / 4, .share_ = restarted},
+                         {.at_ = length / 2, .share_ = restarted}};
+  }
   const std::string load = DescribeLoad(options);
   std::vector<RunRecord> before;
   if (arguments.count("against") > 0) {
@@ -154,6 +183,7 @@
     std::map<std::string, FleetResult> results;
     for (const FleetPolicy& policy : policies) {
       results[policy.name_] = RunFleet(fleet, policy, options);
+      PrintCrashing(results[policy.name_]);
       PrintRow(fleet, policy, results[policy.name_],
                FindRecord(before, fleet.name_, policy.name_));
       records.push_back(RecordOf(fleet, policy, results[policy.name_]));
@@ -217,6 +247,12 @@
                  cxxopts::value<std::string>())(
                  "rejected", "share of arrivals that it rejects",
                  cxxopts::value<double>()->default_value("0.5"))(
+                 "crashing", "route of a content that ends backend servers",
+                 cxxopts::value<std::string>())(
+                 "crashing-every", "time between its requests, in ms",
+                 cxxopts::value<std::uint32_t>()->default_value("250"))(
+                 "restarted", "share of hosts that start again, twice",
+                 cxxopts::value<double>()->default_value("0"))(
                  "honour", "share of clients that honour Retry-After",
                  cxxopts::value<double>()->default_value("0.5"))(
                  "save", "file for the results", cxxopts::value<std::string>())(
--- a/src/relaymodel/experiment.cc
+++ b/src/relaymodel/experiment.cc
@@ -86,6 +86,12 @@
     for (const FleetCrash& crash : options_.crashes_) {
       world_.At(begin_ + crash.at_, [this, &crash] { Crash(crash); });
     }
+    for (const FleetCut& cut : options_.cuts_) {
+      world_.At(begin_ + cut.from_,
+                [this, &cut] { world_.SetCut(cut.zone_, true); });
+      world_.At(begin_ + cut.to_,
+                [this, &cut] { world_.SetCut(cut.zone_, false); });
+    }
     for (const FleetRestart& restart : options_.restarts_) {
       world_.At(begin_ + restart.at_, [this, &restart] { Restart(restart); });
     }
--- a/src/relaymodel/fleet_types.h
+++ b/src/relaymodel/fleet_types.h
@@ -103,6 +103,13 @@
   double share_ = 0.0;
 };
 
+// A time in which nothing passes between a zone and the others.
+struct FleetCut {
+  std::string zone_;
+  Duration from_ = Duration::zero();
+  Duration to_ = Duration::zero();
+};
+
 struct FleetRunOptions {
   std::uint64_t seed_ = 1;
   Duration length_ = std::chrono::seconds(20);
@@ -111,6 +118,7 @@
   std::vector<FleetCrashingContent> crashing_contents_;
   std::vector<FleetCrash> crashes_;
   std::vector<FleetRestart> restarts_;
+  std::vector<FleetCut> cuts_;
   // All requests of a route are alike; else no two are.
   bool alike_ = true;
   double base_factor_ = 1.0;
--- a/src/relaymodel/relay_world.cc
+++ b/src/relaymodel/relay_world.cc
@@ -21,6 +21,7 @@
 // and from there to the next incarnation.
 constexpr Duration kCrashAfter = std::chrono::milliseconds(2);
 constexpr Duration kDownTime = std::chrono::seconds(3);
+constexpr Duration kConnectTimeout = std::chrono::seconds(2);
 constexpr const char* kCarrier = "carries ";
 // Reason of a refusal in the decision log.
 constexpr std::string_view kSuspectWhy =
@@ -169,6 +170,20 @@
   return kBackendLatency;
 }
 
+bool RelayWorld::IsCut(std::size_t from, std::size_t to) const {
+  const std::string& a = fleet_.hosts_[from].zone_;
+  const std::string& b = fleet_.hosts_[to].zone_;
+  return a != b && (cut_zones_.contains(a) || cut_zones_.contains(b));
+}
+
+void RelayWorld::SetCut(const std::string& zone, bool cut) {
+  if (cut) {
+    cut_zones_.insert(zone);
+  } else {
+    cut_zones_.erase(zone);
+  }
+}
+
 std::size_t RelayWorld::IndexOf(const std::string& address) const {
   return by_address_.at(address);
 }
@@ -204,6 +219,7 @@
           notice->charges_.size() + notice->clearances_.size();
     }
     const Connection& connection = world_.connections_[id - 1];
+    if (world_.IsCut(connection.from_, connection.to_)) return;
     const std::size_t target = to_opener ? connection.from_ : connection.to_;
     auto kept = std::make_shared<LinkMessage>(std::move(message));
     world_.At(world_.now_ + world_.Latency(connection.from_, connection.to_),
@@ -239,6 +255,9 @@
   void operator()(ConnectPeer& effect) const {
     const std::size_t to = world_.IndexOf(effect.peer_);
     const std::uint64_t process = node().process_;
+    if (world_.IsCut(index_, to)) {
+      return Later(kConnectTimeout, PeerDisconnected{effect.peer_});
+    }
     world_.At(world_.now_ + 2 * world_.Latency(index_, to),
               [&world = world_, from = index_, to, process] {
                 Node& opener = *world.nodes_[from];
--- a/src/relaymodel/relay_world.h
+++ b/src/relaymodel/relay_world.h
@@ -53,6 +53,8 @@
     rejections_[service] = share;
   }
   void Restart(std::size_t host);
+  // From now on nothing passes between this zone and the others, or does again.
+  void SetCut(const std::string& zone, bool cut);
 
   Timestamp now() const { return now_; }
   RandomState& random() { return random_; }
@@ -106,6 +108,7 @@
   void ArmWake(std::size_t index);
   void SendHeartbeat(std::size_t index);
   Duration Latency(std::size_t from, std::size_t to) const;
+  bool IsCut(std::size_t from, std::size_t to) const;
   std::size_t IndexOf(const std::string& address) const;
   // Without relays.
   void Forward(const FleetRoute& route, std::string trace_id,
@@ -135,7 +138,8 @@
   std::vector<std::shared_ptr<Node>> nodes_;
   std::map<std::string, std::size_t> by_address_;
   std::unordered_map<std::uint64_t, AnswerHandler> waiting_;  // by request
-  std::vector<Connection> connections_;       // by id, never reused
+  std::vector<Connection> connections_;  // by id, never reused
+  std::set<std::string> cut_zones_;
   std::map<std::string, double> rejections_;  // share by service
   std::map<std::string, Arrivals> arrivals_;
   std::map<std::string, CrashingRuns> crashing_bodies_;
--- a/src/relaymodel/tests/crashing_content_tests.cc
+++ b/src/relaymodel/tests/crashing_content_tests.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST_SUITE(CrashingContentTests);
   CPPUNIT_TEST(ContentThatEndsBackendServersIsSentOnWithoutEnd);
   CPPUNIT_TEST(KnowledgeOutlivesTheHostsThatHaveIt);
+  CPPUNIT_TEST(ZonesThatWereCutOffLearnWhatIsInForce);
   CPPUNIT_TEST(CrashWavesCondemnNobody);
   CPPUNIT_TEST_SUITE_END();
 
@@ -122,6 +123,23 @@
     }
   }
 
+  // A zone that is cut off learns by itself what it can; nobody learns twice
+  // once it is back.
+  void ZonesThatWereCutOffLearnWhatIsInForce() {
+    for (const std::uint64_t seed : {1, 2, 3}) {
+      FleetRunOptions options =
+          WithContents({Content("warranty-check", milliseconds(250))});
+      options.seed_ = seed;
+      options.cuts_ = {
+          {.zone_ = "zone-0", .from_ = seconds(1), .to_ = seconds(6)}};
+      const FleetResult result = RunFleet(BrolgaFleet(false), {}, options);
+      const FleetCrashingResult& crashing = result.crashing_.front();
+      const std::string figures = Figures("cut", crashing);
+      CPPUNIT_ASSERT_MESSAGE(figures, crashing.ended_ <= 2 * kEndsThatCondemn);
+      CPPUNIT_ASSERT_MESSAGE(figures, crashing.runs_late_ <= kMostLateRuns);
+    }
+  }
+
   // Backend servers end in waves, whatever they run: requests are refused as
   // if their content was the cause in none of these, neither where all of a
   // route are alike nor where no two are.
