Relay: runs that break after the end is known are told together; a probe without an answer shows nothing

Found on reading the change again. A backend server may hold hundreds of runs, and each that broke after its end was known sent a notice of its own to some tens of hosts. They are now collected for 10 ms and told in one. A probe whose connection neither succeeded nor was refused passed for a sign of life; it is a third answer now, and what began after the end is not charged when it is aborted later, either. Tests: RunsThatBreakAfterTheEndIsKnownAreToldTogether, a row without a word of the probe.

--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -89,7 +89,8 @@
   socket->SetHandlers(
       {.on_connected_ =
            [this, connection] {
-             if (connection->probes_) EndProbe(*connection, false);
+             if (connection->probes_)
+               EndProbe(*connection, Http1Probe::kListens);
              if (connection->pending_.empty()) return;
              connection->written_ = true;
              const std::string text = std::move(connection->pending_);
@@ -136,13 +137,14 @@
 void Http1Client::Probe() {
   Connection* connection = OpenNew();
   if (connection == nullptr) {
-    QTimer::singleShot(0, this, [this] { handlers_.on_probed_(false); });
+    QTimer::singleShot(0, this,
+                       [this] { handlers_.on_probed_(Http1Probe::kUnknown); });
     return;
   }
   connection->probes_ = true;
 }
 
-void Http1Client::EndProbe(Connection& connection, bool refused) {
+void Http1Client::EndProbe(Connection& connection, Http1Probe probe) {
   connection.probes_ = false;
   if (connection.socket_->connected() && idle_.size() < options_.max_idle_) {
     connection.idle_until_ = Clock::now() + options_.idle_timeout_;
@@ -150,7 +152,7 @@
   } else {
     Remove(connection);
   }
-  handlers_.on_probed_(refused);
+  handlers_.on_probed_(probe);
 }
 
 bool Http1Client::Abort(std::uint64_t call_id) {
@@ -218,7 +220,10 @@
 
 void Http1Client::OnEnd(Connection& connection, ConnectionEnd end) {
   const bool refused = end == ConnectionEnd::kRefused;
-  if (connection.probes_) return EndProbe(connection, refused);
+  if (connection.probes_) {
+    return EndProbe(connection,
+                    refused ? Http1Probe::kRefused : Http1Probe::kUnknown);
+  }
   if (!connection.busy_) return Remove(connection);
   if (!connection.written_) {
     return Fail(connection,
--- a/src/http1/http1_client.h
+++ b/src/http1/http1_client.h
@@ -25,6 +25,13 @@
   kMalformed  // what came is no response to this request
 };
 
+// What a probe of the server's address has shown.
+enum class Http1Probe : std::uint8_t {
+  kListens,
+  kRefused,  // nobody listens
+  kUnknown,  // no connection, for another reason
+};
+
 // Settings of a client.
 struct Http1ClientOptions {
   Http1Limits limits_;
@@ -47,8 +54,7 @@
         on_response_;
     std::function<void(std::uint64_t call_id, Http1Failure failure)>
         on_failure_;
-    // Ends a probe: whether it was refused, as nobody listens.
-    std::function<void(bool refused)> on_probed_;
+    std::function<void(Http1Probe probe)> on_probed_;
   };
 
   Http1Client(Http1ClientOptions options, Handlers handlers);
@@ -76,7 +82,7 @@
 
   Connection* TakeIdle();
   Connection* OpenNew();
-  void EndProbe(Connection& connection, bool refused);
+  void EndProbe(Connection& connection, Http1Probe probe);
   void OnData(Connection& connection);
   void OnEnd(Connection& connection, ConnectionEnd end);
   bool Belongs(const Connection& connection,
--- a/src/http1/tests/connection_tests.cc
+++ b/src/http1/tests/connection_tests.cc
@@ -415,18 +415,19 @@
       Http1Server server({}, {.on_request_ = [](std::uint64_t, auto&&) {},
                               .on_client_gone_ = [](std::uint64_t) {}});
       if (listens) CPPUNIT_ASSERT(server.Listen(address));
-      std::optional<bool> refused;
+      std::optional<Http1Probe> probe;
       QEventLoop loop;
       Http1Client client({}, {.on_response_ = {},
                               .on_failure_ = {},
-                              .on_probed_ = [&](bool answer) {
-                                refused = answer;
+                              .on_probed_ = [&](Http1Probe answer) {
+                                probe = answer;
                                 loop.quit();
                               }});
       client.SetAddress(address);
       client.Probe();
       loop.exec();
-      CPPUNIT_ASSERT_EQUAL(!listens, *refused);
+      CPPUNIT_ASSERT(*probe ==
+                     (listens ? Http1Probe::kListens : Http1Probe::kRefused));
       // The connection is kept for a later request.
       CPPUNIT_ASSERT_EQUAL(std::size_t{listens ? 1U : 0U},
                            client.open_connections());
--- a/src/relay/internal/crash_evidence.cc
+++ b/src/relay/internal/crash_evidence.cc
@@ -10,6 +10,8 @@
 // Bounds on the runs that are remembered after their end.
 constexpr std::size_t kMaxUnanswered = 512;
 constexpr Duration kUnansweredMemory = std::chrono::seconds(10);
+// Runs that break together are reported together.
+constexpr Duration kReportDelay = std::chrono::milliseconds(10);
 
 UnansweredRun Describe(const OpenRun& run, Timestamp now) {
   return {.trace_id_ = run.order_.trace_id_,
@@ -39,8 +41,14 @@
 void NoteUnanswered(RelayStep& step, const OpenRun& run) {
   CrashEvidence& evidence = step.state_.crash_evidence_;
   UnansweredRun noted = Describe(run, step.now_);
-  if (RanOn(noted, evidence.ended_.instance_, evidence.ended_.started_at_ms_)) {
-    return Report(step, {std::move(noted)});
+  const EndedBackend& ended = evidence.ended_;
+  if (RanOn(noted, ended.instance_, ended.started_at_ms_)) {
+    if (noted.started_at_ > ended.last_start_) return;
+    if (evidence.unreported_.empty()) {
+      Arm(step, step.now_ + kReportDelay, RelayTimerKind::kCrashReport);
+    }
+    evidence.unreported_.push_back(std::move(noted));
+    return;
   }
   auto& unanswered = evidence.unanswered_;
   unanswered.push_back(std::move(noted));
@@ -50,6 +58,10 @@
   }
 }
 
+void ReportUnanswered(RelayStep& step) {
+  Report(step, std::exchange(step.state_.crash_evidence_.unreported_, {}));
+}
+
 void SuspectEnd(RelayStep& step) {
   CrashEvidence& evidence = step.state_.crash_evidence_;
   if (!evidence.broke_at_) evidence.broke_at_ = step.now_;
@@ -72,14 +84,14 @@
       backend.state_ == BackendState::kGone) {
     return;
   }
+  const Timestamp last_start =
+      std::min(window.last_start_, evidence.broke_at_.value_or(step.now_));
   // Runs that are still open have ended with it if they break, and not if they
   // turn out never to have been sent.
   evidence.ended_ = {.instance_ = backend.instance_,
                      .started_at_ms_ = backend.started_at_ms_,
+                     .last_start_ = last_start,
                      .how_ = how};
-  // What began after the end found a dead connection, and caused nothing.
-  const Timestamp last_start =
-      std::min(window.last_start_, evidence.broke_at_.value_or(step.now_));
   evidence.broke_at_.reset();
   std::vector<UnansweredRun> runs;
   for (UnansweredRun& run : evidence.unanswered_) {
--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -136,11 +136,11 @@
 void OnBackendProbed(RelayStep& step, const BackendProbed& probed) {
   CrashEvidence& evidence = step.state_.crash_evidence_;
   evidence.probing_ = false;
-  if (probed.refused_) {
+  if (probed.probe_ == BackendProbe::kRefused) {
     evidence.probe_again_ = false;
     return OnBackendRefused(step);
   }
-  evidence.broke_at_.reset();
+  if (probed.probe_ == BackendProbe::kListens) evidence.broke_at_.reset();
   if (!evidence.probe_again_) return;
   evidence.probe_again_ = false;
   SuspectEnd(step);
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -84,6 +84,8 @@
 // Ends of incarnations of the own backend server.
 // The run gets no response any more.
 void NoteUnanswered(RelayStep& step, const OpenRun& run);
+// Reports runs that broke after the end of their backend server was known.
+void ReportUnanswered(RelayStep& step);
 // A run has broken: the backend server may have ended.
 void SuspectEnd(RelayStep& step);
 // Runs that may have been in progress when an incarnation ended: those that
--- a/src/relay/internal/request_log.cc
+++ b/src/relay/internal/request_log.cc
@@ -183,8 +183,8 @@
       .kind_ = DecisionKind::kBackendEnded,
       .trace_id_ = {},
       .inputs_ = {
-          {"instance", ended.instance_},
-          {"started_at_ms", ended.started_at_ms_},
+          {"instance", runs.front().instance_},
+          {"started_at_ms", runs.front().backend_started_at_ms_},
           {"service", backend.service_},
           {"how", std::string(ended.how_)},
           {"runs", static_cast<std::int64_t>(runs.size())},
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -35,6 +35,8 @@
       return OnRunDeadline(step, timer.id_);
     case RelayTimerKind::kWaitingSweep:
       return SweepWaiting(step);
+    case RelayTimerKind::kCrashReport:
+      return ReportUnanswered(step);
     case RelayTimerKind::kTick:
       return OnTick(step);
     case RelayTimerKind::kStore:
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -80,9 +80,15 @@
   BackendBreak break_ = BackendBreak::kBroken;
 };
 
+enum class BackendProbe : std::uint8_t {
+  kListens,
+  kRefused,  // nobody listens at the address
+  kUnknown,
+};
+
 // Answer to ProbeBackend.
 struct BackendProbed {
-  bool refused_ = false;  // nobody listens at the address
+  BackendProbe probe_ = BackendProbe::kListens;
 };
 
 // What the own backend server says of itself.
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -181,6 +181,7 @@
 struct EndedBackend {
   std::string instance_;
   std::int64_t started_at_ms_ = 0;
+  Timestamp last_start_;  // what began later found it dead
   std::string_view how_;  // that is known
 };
 
@@ -189,6 +190,8 @@
 struct CrashEvidence {
   EndedBackend ended_;                    // the last one
   std::deque<UnansweredRun> unanswered_;  // oldest first
+  // Runs that broke when the end was known already, until they are reported.
+  std::vector<UnansweredRun> unreported_;
   // First break after the last sign of life.
   std::optional<Timestamp> broke_at_;
   bool probing_ = false;
@@ -301,6 +304,7 @@
   kRequestDeadline,
   kRunDeadline,
   kWaitingSweep,
+  kCrashReport,
   kTick,
   kStore,
 };
--- a/src/relay/tests/crash_evidence_tests.cc
+++ b/src/relay/tests/crash_evidence_tests.cc
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(BrokenRunsNameTheirContent);
   CPPUNIT_TEST(BreaksDuringAProbeLeadToAnother);
   CPPUNIT_TEST(RunsThatBeganAfterTheEndAreNotCharged);
+  CPPUNIT_TEST(RunsThatBreakAfterTheEndIsKnownAreToldTogether);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -81,24 +82,25 @@
         {"connection lost, nobody listens",
          [](Host& host) {
            host.Break();
-           host.bench_.Feed(BackendProbed{.refused_ = true});
+           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
          },
          "connection refused"},
         {"nobody listens, then the connection is lost",
          [](Host& host) {
-           host.bench_.Feed(BackendProbed{.refused_ = true});
+           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
            host.Break();
+           host.bench_.Pass(milliseconds(20));
          },
          "connection refused"},
         {"nobody listens, the run was never sent",
          [](Host& host) {
-           host.bench_.Feed(BackendProbed{.refused_ = true});
+           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
            host.Break(BackendBreak::kRefused);
          },
          ""},
         {"nobody listens, the run is answered",
          [](Host& host) {
-           host.bench_.Feed(BackendProbed{.refused_ = true});
+           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
            host.bench_.Feed(BackendResponded{.run_id_ = host.run_id_,
                                              .response_ = {.status_ = 200}});
          },
@@ -109,6 +111,12 @@
            host.bench_.Feed(BackendProbed{});
          },
          ""},
+        {"connection lost, no word of whether it listens",
+         [](Host& host) {
+           host.Break();
+           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kUnknown});
+         },
+         ""},
         {"spoilt answer, still listens",
          [](Host& host) {
            host.Break(BackendBreak::kMalformed);
@@ -120,7 +128,7 @@
            host.Break();
            host.bench_.Feed(BackendProbed{});
            host.bench_.Pass(milliseconds(2500));
-           host.bench_.Feed(BackendProbed{.refused_ = true});
+           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
          },
          ""},
         {"connection lost, new incarnation",
@@ -159,7 +167,7 @@
          [](Host& host) {
            host.bench_.HearBackend("i-1", 1, 2, true);
            host.Break();
-           host.bench_.Feed(BackendProbed{.refused_ = true});
+           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
            host.bench_.HearBackend("i-2", 2);
          },
          ""},
@@ -230,7 +238,7 @@
       const auto runs = host.bench_.Take<StartRun>();
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs.size());
       host.bench_.Feed(BackendBroke{.run_id_ = runs.front().run_id_});
-      host.bench_.Feed(BackendProbed{.refused_ = true});
+      host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
       const auto ended = host.TakeDecision(DecisionKind::kBackendEnded);
       CPPUNIT_ASSERT(ended.has_value());
       const std::string contents = TextOf(*ended, "contents");
@@ -240,6 +248,25 @@
     }
   }
 
+  // A backend server may hold hundreds of runs, and each notice goes to many.
+  void RunsThatBreakAfterTheEndIsKnownAreToldTogether() {
+    Host host;
+    const std::uint64_t first = host.run_id_;
+    host.Order();
+    host.bench_.AddPeer("10.0.0.2:7000", 2);
+    host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
+    for (const std::uint64_t run_id : {first, host.run_id_}) {
+      host.bench_.Feed(BackendBroke{.run_id_ = run_id});
+    }
+    host.bench_.Take<SendToPeer>();
+    host.bench_.Pass(milliseconds(20));
+    std::size_t notices = 0;
+    for (const SendToPeer& sent : host.bench_.Take<SendToPeer>()) {
+      if (std::holds_alternative<SuspicionNotice>(sent.message_)) ++notices;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, notices);
+  }
+
   // The connection that the first probe opens may be older than the end.
   void BreaksDuringAProbeLeadToAnother() {
     Host host;
--- a/src/relay/tests/suspect_tests.cc
+++ b/src/relay/tests/suspect_tests.cc
@@ -283,7 +283,7 @@
     fleet.Clear();
     fleet.bench_.Feed(BackendBroke{.run_id_ = runs.front().run_id_});
     CPPUNIT_ASSERT(fleet.TakeNotices().empty());
-    fleet.bench_.Feed(BackendProbed{.refused_ = true});
+    fleet.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
     std::size_t to_entry = 0;
     for (const SendBack& back : fleet.bench_.Take<SendBack>()) {
       if (!std::holds_alternative<SuspicionNotice>(back.message_)) continue;
@@ -318,7 +318,7 @@
     for (const StartRun& run : fleet.bench_.Take<StartRun>()) {
       fleet.bench_.Feed(BackendBroke{.run_id_ = run.run_id_});
     }
-    fleet.bench_.Feed(BackendProbed{.refused_ = true});
+    fleet.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
     const auto notices = fleet.TakeNotices();
     CPPUNIT_ASSERT(!notices.empty());
     for (const auto& [peer, notice] : notices) {
--- a/src/relaymodel/relay_world.cc
+++ b/src/relaymodel/relay_world.cc
@@ -288,7 +288,9 @@
     world_.EndRun(index_, effect.run_id_, 0);
   }
   void operator()(ProbeBackend&) const {
-    Later(kBackendLatency, BackendProbed{.refused_ = !node().backend_alive_});
+    const auto probe =
+        node().backend_alive_ ? BackendProbe::kListens : BackendProbe::kRefused;
+    Later(kBackendLatency, BackendProbed{.probe_ = probe});
   }
   void operator()(ReadTable&) const {
     Later(kStoreLatency, TableRead{.table_ = world_.MakeTable(), .text_ = "t"});
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -21,6 +21,18 @@
   return BackendBreak::kBroken;
 }
 
+BackendProbe ProbeOf(Http1Probe probe) {
+  switch (probe) {
+    case Http1Probe::kListens:
+      return BackendProbe::kListens;
+    case Http1Probe::kRefused:
+      return BackendProbe::kRefused;
+    case Http1Probe::kUnknown:
+      return BackendProbe::kUnknown;
+  }
+  return BackendProbe::kUnknown;
+}
+
 }  // namespace
 
 // Carries out one effect.
@@ -111,8 +123,8 @@
                                         .break_ = BreakOf(failure)});
                     },
                 .on_probed_ =
-                    [this](bool refused) {
-                      Feed(BackendProbed{.refused_ = refused});
+                    [this](Http1Probe probe) {
+                      Feed(BackendProbed{.probe_ = ProbeOf(probe)});
                     }}),
       links_(options_.link_silence_, LinkHandlers()) {
   wake_.setSingleShot(true);
