--- a/src/base/fingerprint.h
+++ b/src/base/fingerprint.h
@@ -1,11 +1,11 @@
 #ifndef JUJUBEFRONT_BASE_FINGERPRINT_H_
 #define JUJUBEFRONT_BASE_FINGERPRINT_H_
 
-#include <compare>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace jujubefront {
 
@@ -14,7 +14,10 @@
   std::uint64_t high_ = 0;
   std::uint64_t low_ = 0;
 
-  auto operator<=>(const Fingerprint&) const = default;
+  bool operator==(const Fingerprint& other) const = default;
+  bool operator<(const Fingerprint& other) const {
+    return std::tie(high_, low_) < std::tie(other.high_, other.low_);
+  }
   bool known() const { return high_ != 0 || low_ != 0; }
 };
 
