--- a/src/relay/tests/crash_evidence_tests.cc
+++ b/src/relay/tests/crash_evidence_tests.cc
@@ -60,6 +60,128 @@
   return "";
 }
 
+// What happens after a run has begun.
+struct EndRow {
+  const char* name_;
+  std::function<void(Host&)> then_;
+  std::string how_;  // the end is known; empty: it is not believed
+};
+
+std::vector<EndRow> Ends() {
+  return {
+      {"connection lost, nobody listens",
+       [](Host& host) {
+         host.Break();
+         host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
+       },
+       "connection refused"},
+      {"nobody listens, then the connection is lost",
+       [](Host& host) {
+         host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
+         host.Break();
+         host.bench_.Pass(milliseconds(20));
+       },
+       "connection refused"},
+      {"connection lost, new incarnation",
+       [](Host& host) {
+         host.Break();
+         host.bench_.Pass(seconds(3));
+         host.bench_.HearBackend("i-2", 2);
+       },
+       "new incarnation"},
+      {"connection lost, restarted under its name",
+       [](Host& host) {
+         host.Break();
+         host.bench_.Pass(seconds(3));
+         host.bench_.HearBackend("i-1", 2);
+       },
+       "new incarnation"},
+      {"silent, run given up, new incarnation",
+       [](Host& host) {
+         host.bench_.Feed(LinkReceived{.connection_id_ = kEntryConnection,
+                                       .message_ = RunCancel{.send_id_ = 1}});
+         host.bench_.Pass(seconds(3));
+         host.bench_.HearBackend("i-2", 2);
+       },
+       "new incarnation"}};
+}
+
+std::vector<EndRow> OtherTroubles() {
+  return {{"nobody listens, the run was never sent",
+           [](Host& host) {
+             host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
+             host.Break(BackendBreak::kRefused);
+           },
+           ""},
+          {"nobody listens, the run is answered",
+           [](Host& host) {
+             host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
+             host.bench_.Feed(BackendResponded{.run_id_ = host.run_id_,
+                                               .response_ = {.status_ = 200}});
+           },
+           ""},
+          {"connection lost, still listens",
+           [](Host& host) {
+             host.Break();
+             host.bench_.Feed(BackendProbed{});
+           },
+           ""},
+          {"connection lost, no word of whether it listens",
+           [](Host& host) {
+             host.Break();
+             host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kUnknown});
+           },
+           ""},
+          {"spoilt answer, still listens",
+           [](Host& host) {
+             host.Break(BackendBreak::kMalformed);
+             host.bench_.Feed(BackendProbed{});
+           },
+           ""},
+          {"answer lost long before nobody listens",
+           [](Host& host) {
+             host.Break();
+             host.bench_.Feed(BackendProbed{});
+             host.bench_.Pass(milliseconds(2500));
+             host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
+           },
+           ""},
+          {"began long after the last heartbeat",
+           [](Host& host) {
+             host.bench_.Feed(BackendResponded{.run_id_ = host.run_id_,
+                                               .response_ = {.status_ = 200}});
+             host.bench_.Pass(seconds(4));
+             host.Order();
+             host.Break();
+             host.bench_.HearBackend("i-2", 2);
+           },
+           ""},
+          {"said that it drains",
+           [](Host& host) {
+             host.bench_.HearBackend("i-1", 1, 2, true);
+             host.Break();
+             host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
+             host.bench_.HearBackend("i-2", 2);
+           },
+           ""},
+          {"said that it leaves",
+           [](Host& host) {
+             host.bench_.Feed(BackendLeaves{.instance_ = "i-1"});
+             host.Break();
+             host.bench_.HearBackend("i-2", 2);
+           },
+           ""},
+          {"answered, then replaced",
+           [](Host& host) {
+             host.bench_.Feed(BackendResponded{.run_id_ = host.run_id_,
+                                               .response_ = {.status_ = 200}});
+             host.bench_.HearBackend("i-2", 2);
+           },
+           ""},
+          {"out of reach, for want of a descriptor or a route",
+           [](Host& host) { host.Break(BackendBreak::kNotSent); }, ""}};
+}
+
 class CrashEvidenceTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashEvidenceTests);
   CPPUNIT_TEST(OnlyTheEndOfAnIncarnationIsACrash);
@@ -70,125 +192,12 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // What happens after a run has begun, and whether the end of the backend
-  // server with this run is believed.
+  // Whether the end of the backend server with this run is believed.
   void OnlyTheEndOfAnIncarnationIsACrash() {
-    struct Row {
-      const char* name_;
-      std::function<void(Host&)> then_;
-      std::string how_;  // empty: not believed
-    };
-    const Row rows[] = {
-        {"connection lost, nobody listens",
-         [](Host& host) {
-           host.Break();
-           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
-         },
-         "connection refused"},
-        {"nobody listens, then the connection is lost",
-         [](Host& host) {
-           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
-           host.Break();
-           host.bench_.Pass(milliseconds(20));
-         },
-         "connection refused"},
-        {"nobody listens, the run was never sent",
-         [](Host& host) {
-           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
-           host.Break(BackendBreak::kRefused);
-         },
-         ""},
-        {"nobody listens, the run is answered",
-         [](Host& host) {
-           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
-           host.bench_.Feed(BackendResponded{.run_id_ = host.run_id_,
-                                             .response_ = {.status_ = 200}});
-         },
-         ""},
-        {"connection lost, still listens",
-         [](Host& host) {
-           host.Break();
-           host.bench_.Feed(BackendProbed{});
-         },
-         ""},
-        {"connection lost, no word of whether it listens",
-         [](Host& host) {
-           host.Break();
-           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kUnknown});
-         },
-         ""},
-        {"spoilt answer, still listens",
-         [](Host& host) {
-           host.Break(BackendBreak::kMalformed);
-           host.bench_.Feed(BackendProbed{});
-         },
-         ""},
-        {"answer lost long before nobody listens",
-         [](Host& host) {
-           host.Break();
-           host.bench_.Feed(BackendProbed{});
-           host.bench_.Pass(milliseconds(2500));
-           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
-         },
-         ""},
-        {"connection lost, new incarnation",
-         [](Host& host) {
-           host.Break();
-           host.bench_.Pass(seconds(3));
-           host.bench_.HearBackend("i-2", 2);
-         },
-         "new incarnation"},
-        {"connection lost, restarted under its name",
-         [](Host& host) {
-           host.Break();
-           host.bench_.Pass(seconds(3));
-           host.bench_.HearBackend("i-1", 2);
-         },
-         "new incarnation"},
-        {"silent, run given up, new incarnation",
-         [](Host& host) {
-           host.bench_.Feed(LinkReceived{.connection_id_ = kEntryConnection,
-                                         .message_ = RunCancel{.send_id_ = 1}});
-           host.bench_.Pass(seconds(3));
-           host.bench_.HearBackend("i-2", 2);
-         },
-         "new incarnation"},
-        {"began long after the last heartbeat",
-         [](Host& host) {
-           host.bench_.Feed(BackendResponded{.run_id_ = host.run_id_,
-                                             .response_ = {.status_ = 200}});
-           host.bench_.Pass(seconds(4));
-           host.Order();
-           host.Break();
-           host.bench_.HearBackend("i-2", 2);
-         },
-         ""},
-        {"said that it drains",
-         [](Host& host) {
-           host.bench_.HearBackend("i-1", 1, 2, true);
-           host.Break();
-           host.bench_.Feed(BackendProbed{.probe_ = BackendProbe::kRefused});
-           host.bench_.HearBackend("i-2", 2);
-         },
-         ""},
-        {"said that it leaves",
-         [](Host& host) {
-           host.bench_.Feed(BackendLeaves{.instance_ = "i-1"});
-           host.Break();
-           host.bench_.HearBackend("i-2", 2);
-         },
-         ""},
-        {"answered, then replaced",
-         [](Host& host) {
-           host.bench_.Feed(BackendResponded{.run_id_ = host.run_id_,
-                                             .response_ = {.status_ = 200}});
-           host.bench_.HearBackend("i-2", 2);
-         },
-         ""},
-        {"out of reach, for want of a descriptor or a route",
-         [](Host& host) { host.Break(BackendBreak::kNotSent); }, ""},
-    };
-    for (const Row& row : rows) {
+    std::vector<EndRow> rows = Ends();
+    const std::vector<EndRow> others = OtherTroubles();
+    rows.insert(rows.end(), others.begin(), others.end());
+    for (const EndRow& row : rows) {
       Host host;
       row.then_(host);
       const auto ended = host.TakeDecision(DecisionKind::kBackendEnded);
--- a/src/relaymodel/experiment.cc
+++ b/src/relaymodel/experiment.cc
@@ -171,7 +171,7 @@
       if (service.empty() || hosts[i].service_ == service) members.push_back(i);
     }
     const auto count = static_cast<std::size_t>(
-        share * static_cast<double>(members.size()) + 0.5);
+        std::lround(share * static_cast<double>(members.size())));
     std::vector<std::size_t> drawn;
     while (drawn.size() < count) {
       const std::size_t chosen = NextBelow(world_.random(), members.size());
--- a/src/suspicion/tests/suspicion_tests.cc
+++ b/src/suspicion/tests/suspicion_tests.cc
@@ -148,6 +148,7 @@
         Duration at_;
       };
       std::vector<Notice> notices;
+      notices.reserve(6);
       RandomState random{seed};
       for (int i = 0; i < 6; ++i) {
         notices.push_back({.clears_ = NextBelow(random, 4) == 0,
