Suspicion: charges older than the local clock expire in time

The clock of decisions counts from the start of the host. A charge that is older than the host has a time before its zero, and the latest crash of a content was the maximum of the charges' times and zero: a condemnation that came from elsewhere was taken for one made when this host started, and lasted up to its whole length longer.

Cause: the summary began with a default time, which is zero, not the least one. ChargesOlderThanTheLocalClockExpire fails without the change.

--- a/src/suspicion/suspicion.cc
+++ b/src/suspicion/suspicion.cc
@@ -38,7 +38,9 @@
 // the latest charge.
 struct ChargeSummary {
   std::uint32_t incarnations_ = 0;
-  Timestamp last_crash_at_;
+  // Times before the start of the clock occur: charges may be older than the
+  // local host.
+  Timestamp last_crash_at_ = Timestamp::min();
 };
 
 template <typename Counts>
@@ -276,8 +278,10 @@
              : SummarizeCharges(found->second).incarnations_;
 }
 
-void RemoveExpiredCharges(SuspicionState& state,
-                          const SuspicionOptions& options, Timestamp now) {
+std::vector<Fingerprint> RemoveExpiredCharges(SuspicionState& state,
+                                              const SuspicionOptions& options,
+                                              Timestamp now) {
+  std::vector<Fingerprint> released;
   for (auto it = state.suspects_.begin(); it != state.suspects_.end();) {
     Suspect& suspect = it->second;
     const ChargeSummary summary = SummarizeCharges(suspect);
@@ -292,10 +296,12 @@
     std::erase_if(suspect.cleared_at_, [&](const auto& clearance) {
       return now - clearance.second >= options.charge_ttl_;
     });
+    if (condemned && suspect.charges_.empty()) released.push_back(it->first);
     const bool expired =
         suspect.charges_.empty() && suspect.cleared_at_.empty();
     it = expired ? state.suspects_.erase(it) : std::next(it);
   }
+  return released;
 }
 
 }  // namespace jujubefront
--- a/src/suspicion/suspicion.h
+++ b/src/suspicion/suspicion.h
@@ -62,9 +62,11 @@
 // Fewer charges are only broadcast once, when they are recorded.
 bool ShouldResync(const SuspicionOptions& options, const Suspect& suspect);
 
-// Removes charges and clearances that no longer affect any verdict.
-void RemoveExpiredCharges(SuspicionState& state,
-                          const SuspicionOptions& options, Timestamp now);
+// Removes charges and clearances that no longer affect any verdict. Returns the
+// contents that had been condemned and have no charges any more.
+std::vector<Fingerprint> RemoveExpiredCharges(SuspicionState& state,
+                                              const SuspicionOptions& options,
+                                              Timestamp now);
 
 }  // namespace jujubefront
 
--- a/src/suspicion/tests/suspicion_tests.cc
+++ b/src/suspicion/tests/suspicion_tests.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(CondemnationIsFollowedByProbation);
   CPPUNIT_TEST(SuccessClearsEarlierCharges);
   CPPUNIT_TEST(SuccessClearsChargesOfItsCallerOnly);
+  CPPUNIT_TEST(ChargesOlderThanTheLocalClockExpire);
   CPPUNIT_TEST(StateIsIndependentOfNoticeOrderAndRepetition);
   CPPUNIT_TEST(StateSizeIsBounded);
   CPPUNIT_TEST(LargestCountWithoutIncarnationsAppliesAndExpires);
@@ -96,6 +97,27 @@
     }
   }
 
+  // The clock counts from the start of the host, so charges from elsewhere may
+  // lie before its zero. Guards against taking these for charges made at zero,
+  // which prolonged a condemnation by up to its whole length.
+  void ChargesOlderThanTheLocalClockExpire() {
+    SuspicionState state;
+    const SuspicionOptions options;
+    const Timestamp now{minutes(1)};
+    for (const std::uint64_t incarnation : {1, 2, 3}) {
+      RecordCharge(state, options, now, kContent,
+                   {.incarnation_ = incarnation, .at_ = now - minutes(15)});
+    }
+    CPPUNIT_ASSERT(
+        EvaluateContent(state, options, now, kContent, kCaller).standing_ ==
+        Standing::kContained);
+    CPPUNIT_ASSERT(RemoveExpiredCharges(state, options, now).empty());
+    const std::vector<Fingerprint> released =
+        RemoveExpiredCharges(state, options, now + minutes(5));
+    CPPUNIT_ASSERT(released == std::vector<Fingerprint>{kContent});
+    CPPUNIT_ASSERT(state.suspects_.empty());
+  }
+
   // Guards against trusting a content again as soon as its condemnation ends,
   // when nothing shows that it is harmless by now. During the probation it is
   // contained (one run at a time), and one more charge condemns it for twice as
