Condemned contents are kept in the platform's store

Cause: charges lived in the memory of relays only. A relay that starts gets its routing document from the store, so that it serves, and its charges from peers, which it may not reach. Class of fault: what must outlast the processes was kept by the processes.

Change: the charges of a condemned content are a record of a topic of ours. The host where the condemning charge arose writes it, and the first host of each zone that receives it, one write at a time, repeated with the backoff of all calls to the store. A process reads the records when it starts, before it asks for the document; a first document that comes from a peer comes with the peer's charges. When probation is over the first host of each zone removes the record; a success replaces it. Contents that are merely contained are not written: two charges are what crash waves leave with harmless requests, and calls to the store are limited. One more call to the store for each start of a process.

Tables of the reducer for writing, repeating, removing, reading, and for documents of peers.

--- a/src/base/fingerprint.cc
+++ b/src/base/fingerprint.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <charconv>
 #include <cstdio>
 #include <memory>
 
@@ -12,6 +13,16 @@
   void operator()(XXH3_state_t* state) const { XXH3_freeState(state); }
 };
 
+std::optional<std::uint64_t> ParseHex(std::string_view digits) {
+  std::uint64_t value = 0;
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
+  if (error != std::errc() || end != digits.data() + digits.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 }  // namespace
 
 Fingerprint FingerprintOf(std::initializer_list<std::string_view> parts) {
@@ -35,4 +46,12 @@
   return text;
 }
 
+std::optional<Fingerprint> ParseFingerprint(std::string_view text) {
+  if (text.size() != kFingerprintDigits) return std::nullopt;
+  const auto high = ParseHex(text.substr(0, kFingerprintDigits / 2));
+  const auto low = ParseHex(text.substr(kFingerprintDigits / 2));
+  if (!high || !low) return std::nullopt;
+  return Fingerprint{.high_ = *high, .low_ = *low};
+}
+
 }  // namespace jujubefront
--- a/src/base/fingerprint.h
+++ b/src/base/fingerprint.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -29,6 +30,9 @@
 // Formats a fingerprint as kFingerprintDigits hexadecimal digits.
 std::string FormatFingerprint(const Fingerprint& fingerprint);
 
+// Parses the result of FormatFingerprint; nullopt for any other text.
+std::optional<Fingerprint> ParseFingerprint(std::string_view text);
+
 // Hash for unordered containers.
 struct FingerprintHash {
   std::size_t operator()(const Fingerprint& fingerprint) const {
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -402,6 +402,9 @@
 void OnTableQuery(RelayStep& step, std::uint64_t connection_id,
                   const TableQuery& query) {
   if (step.state_.table_.version_ <= query.newer_than_) return;
+  // A process that gets its first document from a peer may not have reached the
+  // store, which keeps the condemned contents as well.
+  if (query.newer_than_ == 0) SendAllCharges(step, connection_id);
   step.effects_.emplace_back(
       SendBack{.connection_id_ = connection_id,
                .message_ = TableText{.version_ = step.state_.table_.version_,
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -139,6 +139,13 @@
                        const std::string& peer, const SuspicionNotice& notice);
 // Removes expired charges, and sends all charges to a peer that lacks some.
 void TickSuspects(RelayStep& step);
+// Sends all charges and clearances back on a connection that a peer opened.
+void SendAllCharges(RelayStep& step, std::uint64_t connection_id);
+void OnChargesRead(RelayStep& step, const ChargesRead& read);
+void OnChargesSaved(RelayStep& step);
+void OnChargesNotSaved(RelayStep& step);
+// Writes the next content to the store whose charges there are out of date.
+void SaveNextCharges(RelayStep& step);
 // Refuses waiting runs whose content has been condemned in the meantime.
 void RefuseCondemnedWaiting(RelayStep& step);
 
@@ -196,13 +203,16 @@
 // Recomputes this node's share of the fleet-wide bound on retries.
 void UpdateRetryAllowance(RelayStep& step);
 
-// Store of the routing documents and of the list of nodes.
+// Store of the routing documents, of the list of nodes and of condemned
+// contents.
 
 void StartStore(RelayStep& step);
 void OnTableRead(RelayStep& step, TableRead& read);
 void OnTableOffset(RelayStep& step, std::uint64_t next);
 void OnNodesRead(RelayStep& step, const NodesRead& read);
 void OnNodeAnnounced(RelayStep& step);
+// The store has answered a call.
+void RecordStoreAnswer(RelayStep& step);
 void OnStoreFailed(RelayStep& step, const StoreFailed& failed);
 // Repeats a failed call after its waiting time.
 void RepeatStoreCall(RelayStep& step, StoreCall call);
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -16,6 +16,10 @@
       return "announce";
     case StoreCall::kReadNodes:
       return "read nodes";
+    case StoreCall::kReadCharges:
+      return "read charges";
+    case StoreCall::kSaveCharges:
+      return "save charges";
   }
   return "call";
 }
@@ -34,17 +38,6 @@
   return "fault";
 }
 
-void RecordStoreAnswer(RelayStep& step) {
-  StoreState& store = step.state_.store_;
-  store.retry_wait_ = Duration::zero();
-  if (store.available_) return;
-  store.available_ = true;
-  step.effects_.emplace_back(Decision{
-      .kind_ = DecisionKind::kStoreBack,
-      .trace_id_ = {},
-      .inputs_ = {{"away_us", (step.now_ - store.failed_since_).count()}}});
-}
-
 // Schedules a repeat of a failed call with exponential backoff and jitter.
 void ScheduleRetry(RelayStep& step, StoreCall call) {
   StoreState& store = step.state_.store_;
@@ -108,8 +101,22 @@
 
 }  // namespace
 
+void RecordStoreAnswer(RelayStep& step) {
+  StoreState& store = step.state_.store_;
+  store.retry_wait_ = Duration::zero();
+  if (store.available_) return;
+  store.available_ = true;
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kStoreBack,
+      .trace_id_ = {},
+      .inputs_ = {{"away_us", (step.now_ - store.failed_since_).count()}}});
+}
+
 void StartStore(RelayStep& step) {
-  step.state_.counters_.store_calls_ += 2;
+  step.state_.counters_.store_calls_ += 3;
+  // Before the document: without one the node runs nothing, so that in general
+  // it knows the condemned contents when it runs its first request.
+  step.effects_.emplace_back(ReadCharges{});
   step.effects_.emplace_back(ReadTable{});
   step.effects_.emplace_back(AnnounceNode{});
 }
@@ -176,15 +183,20 @@
   }
   const bool reread = failed.call_ == StoreCall::kAwaitTable &&
                       failed.fault_ == StoreFault::kHistoryLost;
+  if (failed.call_ == StoreCall::kSaveCharges) OnChargesNotSaved(step);
   ScheduleRetry(step, reread ? StoreCall::kReadTable : failed.call_);
 }
 
 void RepeatStoreCall(RelayStep& step, StoreCall call) {
   if (call == StoreCall::kAwaitTable) return StartPoll(step);
+  if (call == StoreCall::kSaveCharges) return SaveNextCharges(step);
   ++step.state_.counters_.store_calls_;
   if (call == StoreCall::kReadTable) step.effects_.emplace_back(ReadTable{});
   if (call == StoreCall::kAnnounce) step.effects_.emplace_back(AnnounceNode{});
   if (call == StoreCall::kReadNodes) step.effects_.emplace_back(ReadNodes{});
+  if (call == StoreCall::kReadCharges) {
+    step.effects_.emplace_back(ReadCharges{});
+  }
 }
 
 }  // namespace jujubefront
--- a/src/relay/internal/suspects.cc
+++ b/src/relay/internal/suspects.cc
@@ -133,6 +133,45 @@
   return true;
 }
 
+bool HasChargesToCondemn(const RelayStep& step, const Fingerprint& content) {
+  return ChargesAgainst(step.state_.content_watch_.known_, content) >=
+         step.options_.suspicion_.min_charges_to_condemn_;
+}
+
+void MarkUnsaved(RelayStep& step, const Fingerprint& content) {
+  step.state_.content_watch_.unsaved_.insert(content);
+}
+
+// A condemnation that only the memory of processes held would end with them:
+// after a restart of all, or of one that no peer can reach, the content could
+// crash as many backend servers again. Saves condemned contents that `charges`
+// concern. The node where a charge arose saves it; so does one node of each
+// zone that receives it, since the first may end before its write is done, and
+// since the last charge may come with the end of a partition.
+void MarkCondemnedUnsaved(RelayStep& step,
+                          const std::vector<ContentCharge>& charges) {
+  for (const ContentCharge& charge : charges) {
+    if (HasChargesToCondemn(step, charge.content_)) {
+      MarkUnsaved(step, charge.content_);
+    }
+  }
+}
+
+// Charges that the store is to keep: none unless they condemn the content.
+std::vector<ContentCharge> ChargesToSave(const RelayStep& step,
+                                         const Fingerprint& content) {
+  std::vector<ContentCharge> charges;
+  if (!HasChargesToCondemn(step, content)) return charges;
+  for (const CrashCharge& charge :
+       step.state_.content_watch_.known_.suspects_.at(content).charges_) {
+    charges.push_back({.content_ = content,
+                       .caller_ = charge.caller_,
+                       .incarnation_ = charge.incarnation_,
+                       .age_ = step.now_ - charge.at_});
+  }
+  return charges;
+}
+
 // All charges and clearances that a peer needs to be brought up to date, in
 // messages of bounded size.
 std::vector<SuspicionNotice> BuildFullNotices(const RelayStep& step) {
@@ -237,6 +276,8 @@
                                         .message_ = std::move(entry_notice)});
   }
   BroadcastNotice(step, notice);
+  MarkCondemnedUnsaved(step, notice.charges_);
+  SaveNextCharges(step);
   RefuseCondemnedWaiting(step);
 }
 
@@ -245,6 +286,7 @@
   const ContentClearance clearance{
       .content_ = run.order_.content_,
       .caller_ = HashCaller(run.order_.caller_service_)};
+  const bool was_condemned = HasChargesToCondemn(step, clearance.content_);
   if (!RecordSuccess(step.state_.content_watch_.known_,
                      step.options_.suspicion_, step.now_, clearance.content_,
                      clearance.caller_)) {
@@ -252,6 +294,9 @@
   }
   LogClearance(step, clearance, "own backend server");
   BroadcastNotice(step, {.clearances_ = {clearance}});
+  if (!was_condemned) return;
+  MarkUnsaved(step, clearance.content_);
+  SaveNextCharges(step);
 }
 
 bool IsBlockedBySuspicion(const RelayStep& step, const RunOrder& order) {
@@ -303,6 +348,10 @@
   }
   if (IsEmpty(changes)) return;
   RefuseCondemnedWaiting(step);
+  if (RanksFirstInZone(step)) {
+    MarkCondemnedUnsaved(step, changes.charges_);
+    SaveNextCharges(step);
+  }
   // Forwards what came from another zone on a connection that the peer opened.
   // A notice on this node's own connection to a peer is one that SendBack
   // addressed to the entry of a run; the peer broadcasts it as well.
@@ -315,7 +364,12 @@
   ContentWatch& watch = step.state_.content_watch_;
   if (step.now_ - watch.pruned_at_ >= kExpiryInterval) {
     watch.pruned_at_ = step.now_;
-    RemoveExpiredCharges(watch.known_, step.options_.suspicion_, step.now_);
+    const std::vector<Fingerprint> released =
+        RemoveExpiredCharges(watch.known_, step.options_.suspicion_, step.now_);
+    if (!released.empty() && RanksFirstInZone(step)) {
+      watch.unsaved_.insert(released.begin(), released.end());
+      SaveNextCharges(step);
+    }
   }
   if (watch.digest_ != watch.known_.digest_) {
     watch.digest_ = watch.known_.digest_;
@@ -332,4 +386,44 @@
   }
 }
 
+void SendAllCharges(RelayStep& step, std::uint64_t connection_id) {
+  for (SuspicionNotice& notice : BuildFullNotices(step)) {
+    ++step.state_.counters_.suspicion_notices_sent_;
+    step.effects_.emplace_back(SendBack{.connection_id_ = connection_id,
+                                        .message_ = std::move(notice)});
+  }
+}
+
+void OnChargesRead(RelayStep& step, const ChargesRead& read) {
+  RecordStoreAnswer(step);
+  for (const ContentCharge& charge : read.charges_) {
+    ApplyCharge(step, charge, "store");
+  }
+  RefuseCondemnedWaiting(step);
+}
+
+void OnChargesSaved(RelayStep& step) {
+  RecordStoreAnswer(step);
+  step.state_.content_watch_.saving_.reset();
+  SaveNextCharges(step);
+}
+
+void OnChargesNotSaved(RelayStep& step) {
+  ContentWatch& watch = step.state_.content_watch_;
+  if (watch.saving_) watch.unsaved_.insert(*watch.saving_);
+  watch.saving_.reset();
+}
+
+void SaveNextCharges(RelayStep& step) {
+  ContentWatch& watch = step.state_.content_watch_;
+  if (watch.saving_ || watch.unsaved_.empty()) return;
+  const Fingerprint content = *watch.unsaved_.begin();
+  watch.unsaved_.erase(watch.unsaved_.begin());
+  watch.saving_ = content;
+  ++step.state_.counters_.store_calls_;
+  ++step.state_.counters_.charge_writes_;
+  step.effects_.emplace_back(SaveCharges{
+      .content_ = content, .charges_ = ChargesToSave(step, content)});
+}
+
 }  // namespace jujubefront
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -133,6 +133,8 @@
   void operator()(TableOffset& e) const { OnTableOffset(step_, e.next_); }
   void operator()(NodesRead& e) const { OnNodesRead(step_, e); }
   void operator()(NodeAnnounced&) const { OnNodeAnnounced(step_); }
+  void operator()(ChargesRead& e) const { OnChargesRead(step_, e); }
+  void operator()(ChargesSaved&) const { OnChargesSaved(step_); }
   void operator()(StoreFailed& e) const { OnStoreFailed(step_, e); }
   void operator()(InputUnreadable& e) const {
     ++step_.state_.counters_.inputs_unreadable_;
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -78,6 +78,16 @@
 // Reads the list of nodes from the store.
 struct ReadNodes {};
 
+// Reads the charges of all condemned contents from the store.
+struct ReadCharges {};
+
+// Keeps the charges of a condemned content in the store, where processes that
+// start later find them. Without charges, removes the content from the store.
+struct SaveCharges {
+  Fingerprint content_;
+  std::vector<ContentCharge> charges_;
+};
+
 // Applies the routing document's limits on client connections.
 struct ApplyClientLimits {
   ClientLimits limits_;
@@ -136,8 +146,9 @@
 using RelayEffect =
     std::variant<AnswerRequest, SendToPeer, SendBack, ConnectPeer,
                  DisconnectPeer, StartRun, AbortRun, ProbeBackend, ReadTable,
-                 AwaitTable, AnnounceNode, ReadNodes, ApplyClientLimits,
-                 SetReady, CloseClients, EndProcess, Decision>;
+                 AwaitTable, AnnounceNode, ReadNodes, ReadCharges, SaveCharges,
+                 ApplyClientLimits, SetReady, CloseClients, EndProcess,
+                 Decision>;
 
 }  // namespace jujubefront
 
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -135,12 +135,22 @@
 // This node is now listed in the store.
 struct NodeAnnounced {};
 
+// Charges of condemned contents that the store keeps.
+struct ChargesRead {
+  std::vector<ContentCharge> charges_;
+};
+
+// The effect SaveCharges has been carried out.
+struct ChargesSaved {};
+
 // Kinds of calls to the store.
 enum class StoreCall : std::uint8_t {
   kReadTable,
   kAwaitTable,
   kAnnounce,
-  kReadNodes
+  kReadNodes,
+  kReadCharges,
+  kSaveCharges,
 };
 
 // Why a call to the store failed.
@@ -171,8 +181,9 @@
                  InboundLinkClosed, PeerConnected, PeerDisconnected,
                  BackendResponded, BackendExchangeFailed, BackendProbed,
                  BackendHeartbeat, BackendDeregistered, TableRead, TableOffset,
-                 NodesRead, NodeAnnounced, StoreFailed, InputUnreadable,
-                 RelayTimeReached, StopRequested, SettingsReloaded>;
+                 NodesRead, NodeAnnounced, ChargesRead, ChargesSaved,
+                 StoreFailed, InputUnreadable, RelayTimeReached, StopRequested,
+                 SettingsReloaded>;
 
 // An input of the reducer and the time at which it was received.
 struct RelayEvent {
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -149,6 +149,10 @@
   Timestamp pruned_at_;       // when expired charges were last removed
   Timestamp changed_at_;      // when digest_ last changed
   std::uint64_t digest_ = 0;  // of known_, at the last tick
+  // Contents whose charges in the store are out of date, and the one that is
+  // being written. Writing them one by one bounds the calls to the store.
+  std::set<Fingerprint> unsaved_;
+  std::optional<Fingerprint> saving_;
 };
 
 // A run order that has been sent to a host and has no reply yet.
@@ -362,6 +366,7 @@
   std::uint64_t refused_suspect_ = 0;       // requests refused by the entry
   std::uint64_t runs_refused_suspect_ = 0;  // run orders refused by the host
   std::uint64_t suspicion_notices_sent_ = 0;
+  std::uint64_t charge_writes_ = 0;  // of condemned contents, to the store
   std::uint64_t late_replies_ = 0;
   std::uint64_t store_calls_ = 0;
   std::uint64_t store_failures_ = 0;
--- a/src/relay/tests/suspect_tests.cc
+++ b/src/relay/tests/suspect_tests.cc
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <functional>
 
+#include "base/hashing.h"
 #include "relay/tests/relay_harness.h"
 #include "suspicion/suspicion.h"
 
@@ -27,13 +29,30 @@
 
 // A node with two other hosts of its service in its zone.
 struct NodeWithPeers {
-  NodeWithPeers() {
+  explicit NodeWithPeers(bool ranks_first = false)
+      : harness_(MakeOptions(ranks_first)) {
     harness_.LoadTable();
     harness_.AddPeer(kFirstPeer, kFirstConnection);
     harness_.AddPeer(kSecondPeer, kSecondConnection);
     DiscardOutput();
   }
 
+  // Options with an address that ranks first, or last, in the zone.
+  static RelayOptions MakeOptions(bool ranks_first) {
+    RelayOptions options = RelayHarness::DefaultOptions();
+    const auto rank = [&](const std::string& address) {
+      return HashBytes(options.zone_ + '/' + address);
+    };
+    const auto [first, last] =
+        std::minmax({rank(kFirstPeer), rank(kSecondPeer)});
+    for (int i = 1; ranks_first ? rank(options.address_) >= first
+                                : rank(options.address_) <= last;
+         ++i) {
+      options.address_ = "10.0.2." + std::to_string(i) + ":7000";
+    }
+    return options;
+  }
+
   void DiscardOutput() {
     harness_.TakeRunOrders();
     harness_.Take<SendBack>();
@@ -138,6 +157,11 @@
   CPPUNIT_TEST(SuccessOfAContainedContentIsBroadcast);
   CPPUNIT_TEST(NoticesOfOtherZonesAreForwardedOnce);
   CPPUNIT_TEST(HostsWithAnotherDigestReceiveAllCharges);
+  CPPUNIT_TEST(CondemnedContentsAreKeptInTheStore);
+  CPPUNIT_TEST(FailedWritesToTheStoreAreRepeated);
+  CPPUNIT_TEST(ExpiredCondemnationsAreRemovedFromTheStore);
+  CPPUNIT_TEST(RestartedNodeReadsCondemnedContentsFromTheStore);
+  CPPUNIT_TEST(DocumentOfAPeerComesWithItsCharges);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -440,6 +464,116 @@
       }
     }
   }
+
+  // Guards against condemnations that end with the processes that know them: a
+  // relay that restarts while it is cut off from its peers ran a condemned
+  // content again (soak, seed 113). Only what condemns is written, since every
+  // call to the store counts against a limit that all nodes share.
+  void CondemnedContentsAreKeptInTheStore() {
+    struct Row {
+      const char* name_;
+      std::uint64_t charges_;
+      bool ranks_first_;
+      std::size_t writes_;
+    };
+    const Row rows[] = {
+        {"two charges", 2, true, 0},
+        {"three charges", 3, true, 1},
+        {"three charges, another host ranks first", 3, false, 0},
+    };
+    for (const Row& row : rows) {
+      NodeWithPeers node(row.ranks_first_);
+      node.ReceiveNotice(CrashNotice(row.charges_, seconds(5)));
+      const auto writes = node.harness_.Take<SaveCharges>();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.writes_, writes.size());
+      if (writes.empty()) continue;
+      CPPUNIT_ASSERT(writes.front().content_ == kContent);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, writes.front().charges_.size());
+      for (const ContentCharge& charge : writes.front().charges_) {
+        CPPUNIT_ASSERT(charge.age_ == seconds(5));
+      }
+    }
+  }
+
+  // Guards against a condemnation that is lost because the store was away when
+  // it was written, and against writes that pile up while the store is away.
+  void FailedWritesToTheStoreAreRepeated() {
+    NodeWithPeers node(true);
+    node.ReceiveNotice(CrashNotice(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         node.harness_.Take<SaveCharges>().size());
+    node.ReceiveNotice(CrashNotice(4));
+    CPPUNIT_ASSERT(node.harness_.Take<SaveCharges>().empty());
+    node.harness_.Feed(StoreFailed{.call_ = StoreCall::kSaveCharges});
+    node.harness_.RunFor(seconds(2));
+    const auto repeated = node.harness_.Take<SaveCharges>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, repeated.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, repeated.front().charges_.size());
+    node.harness_.Feed(ChargesSaved{});
+    node.harness_.RunFor(seconds(5));
+    CPPUNIT_ASSERT(node.harness_.Take<SaveCharges>().empty());
+  }
+
+  // Guards against records that stay in the store for good: nothing else
+  // removes the newest record of a key.
+  void ExpiredCondemnationsAreRemovedFromTheStore() {
+    for (const bool ranks_first : {true, false}) {
+      NodeWithPeers node(ranks_first);
+      node.harness_.Feed(ChargesRead{CrashNotice(3, seconds(1199)).charges_});
+      CPPUNIT_ASSERT(node.harness_.Take<SaveCharges>().empty());
+      node.harness_.RunFor(seconds(3));
+      const auto writes = node.harness_.Take<SaveCharges>();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ranks_first ? 1U : 0U}, writes.size());
+      if (ranks_first) CPPUNIT_ASSERT(writes.front().charges_.empty());
+    }
+  }
+
+  // What the store keeps has the effect that it had before the restart, and is
+  // not sent on or written once more.
+  void RestartedNodeReadsCondemnedContentsFromTheStore() {
+    RelayHarness starting;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starting.Take<ReadCharges>().size());
+    NodeWithPeers node(true);
+    node.harness_.ReceiveHeartbeat();
+    node.DiscardOutput();
+    node.harness_.Feed(ChargesRead{CrashNotice(3, seconds(60)).charges_});
+    CPPUNIT_ASSERT(node.TakeNotices().empty());
+    CPPUNIT_ASSERT(node.harness_.Take<SaveCharges>().empty());
+    node.SendSuspectRequest(1, "/read/1");
+    CPPUNIT_ASSERT_EQUAL(503, node.harness_.TakeAnswerStatus());
+    node.ReceiveOrder(1);
+    CPPUNIT_ASSERT(std::vector<NotRunReason>{NotRunReason::kSuspect} ==
+                   node.TakeRefusals());
+  }
+
+  // Guards against a node that starts while the store is away: the peer that
+  // makes it able to serve also tells it what not to run, and tells it first.
+  void DocumentOfAPeerComesWithItsCharges() {
+    struct Row {
+      const char* name_;
+      std::uint64_t newer_than_;
+      bool charges_;
+    };
+    const Row rows[] = {{"first document", 0, true},
+                        {"newer document", 1, false}};
+    for (const Row& row : rows) {
+      NodeWithPeers node;
+      node.harness_.LoadTable(2);
+      node.ReceiveNotice(CrashNotice(3));
+      node.DiscardOutput();
+      node.harness_.Feed(
+          LinkReceived{.connection_id_ = kSecondConnection,
+                       .message_ = TableQuery{.newer_than_ = row.newer_than_}});
+      const auto sent = node.harness_.Take<SendBack>();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          row.name_, std::size_t{row.charges_ ? 2U : 1U}, sent.size());
+      CPPUNIT_ASSERT(std::holds_alternative<TableText>(sent.back().message_));
+      if (!row.charges_) continue;
+      const auto* notice = std::get_if<SuspicionNotice>(&sent.front().message_);
+      CPPUNIT_ASSERT(notice != nullptr);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, notice->charges_.size());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SuspectTests);
--- a/src/relaymodel/experiment.cc
+++ b/src/relaymodel/experiment.cc
@@ -323,6 +323,7 @@
     EvaluateCrashing();
     result_.harmless_refused_ = simulator_.harmless_refused();
     result_.notices_ = simulator_.notices().notices_;
+    result_.charge_writes_ = simulator_.charge_writes();
     result_.notice_entries_ = simulator_.notices().charges_;
     return std::move(result_);
   }
--- a/src/relaymodel/fleet_simulator.cc
+++ b/src/relaymodel/fleet_simulator.cc
@@ -324,6 +324,27 @@
     }
     FeedLater(kStoreLatency, std::move(read));
   }
+  void operator()(ReadCharges&) const {
+    ChargesRead read;
+    for (const auto& [content, saved] : simulator_.saved_charges_) {
+      for (ContentCharge charge : saved.charges_) {
+        charge.age_ += simulator_.now_ - saved.at_;
+        read.charges_.push_back(charge);
+      }
+    }
+    FeedLater(kStoreLatency, std::move(read));
+  }
+  void operator()(SaveCharges& effect) const {
+    auto& saved = simulator_.saved_charges_;
+    if (effect.charges_.empty()) {
+      saved.erase(effect.content_);
+    } else {
+      saved[effect.content_] = {.at_ = simulator_.now_,
+                                .charges_ = std::move(effect.charges_)};
+    }
+    ++simulator_.charge_writes_;
+    FeedLater(kStoreLatency, ChargesSaved{});
+  }
   void operator()(ApplyClientLimits&) const {}
   void operator()(SetReady&) const {}
   void operator()(CloseClients&) const {}
--- a/src/relaymodel/fleet_simulator.h
+++ b/src/relaymodel/fleet_simulator.h
@@ -79,6 +79,7 @@
     std::uint64_t charges_ = 0;  // including clearances
   };
   const NoticeCounts& notices() const { return notices_; }
+  std::uint64_t charge_writes() const { return charge_writes_; }
 
   // Sets a handler that is called at the end of every run with the id of the
   // client's request and the time for which the run held its slot.
@@ -154,6 +155,13 @@
   std::set<std::string> crashing_fingerprints_;  // of target and body
   std::uint64_t harmless_refused_ = 0;
   NoticeCounts notices_;
+  // What the store keeps for condemned contents; it outlives all hosts.
+  struct SavedCharges {
+    Timestamp at_;
+    std::vector<ContentCharge> charges_;
+  };
+  std::map<Fingerprint, SavedCharges> saved_charges_;
+  std::uint64_t charge_writes_ = 0;
   std::set<std::string> arrived_trace_ids_;  // trace ids
   std::function<void(const std::string&, Duration)> on_run_end_ =
       [](const auto&, Duration) {};
--- a/src/relaymodel/fleet_types.h
+++ b/src/relaymodel/fleet_types.h
@@ -159,6 +159,7 @@
   std::uint64_t harmless_refused_ = 0;
   // Suspicion notices sent, and the charges and clearances in them.
   std::uint64_t notices_ = 0;
+  std::uint64_t charge_writes_ = 0;  // to the store
   std::uint64_t notice_entries_ = 0;
   double worth_share_ =
       0.0;  // worth of answers in time, of all requests' worth
--- a/src/relaymodel/tests/crashing_content_tests.cc
+++ b/src/relaymodel/tests/crashing_content_tests.cc
@@ -97,9 +97,9 @@
   }
 
   // Hosts restart while two crashing contents are being sent: none, half of the
-  // hosts once, or half of them twice and then a third. A restarted host knows
-  // no charges; unless it receives them from others, it runs the contents
-  // again.
+  // hosts once, or half of them twice and then a third, or all at once. A
+  // restarted host knows no charges; unless it receives them from others, or
+  // from the store when no other host has them, it runs the contents again.
   void ChargesOutliveRestartsOfHosts() {
     struct Row {
       const char* name_;
@@ -112,6 +112,10 @@
          {{.at_ = seconds(7), .share_ = 0.5},
           {.at_ = seconds(9), .share_ = 0.5},
           {.at_ = seconds(11), .share_ = 0.33}}},
+        {"all hosts", {{.at_ = seconds(7), .share_ = 1.0}}},
+        {"all hosts twice",
+         {{.at_ = seconds(6), .share_ = 1.0},
+          {.at_ = seconds(9), .share_ = 1.0}}},
     };
     for (const Row& row : rows) {
       FleetRunOptions options = OptionsWithContents(
@@ -127,6 +131,10 @@
         CPPUNIT_ASSERT_MESSAGE(
             figures, crashing.backend_crashes_ <= kCrashesThatCondemn + 1);
       }
+      // For each content and crash that condemns it: the host that saw the
+      // crash, and one in each zone.
+      CPPUNIT_ASSERT(result.charge_writes_ > 0);
+      CPPUNIT_ASSERT(result.charge_writes_ <= 2 * 2 * 5);
     }
   }
 
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -78,6 +78,7 @@
   Counter(text, "refused_suspect", counters.refused_suspect_);
   Counter(text, "runs_refused_suspect", counters.runs_refused_suspect_);
   Counter(text, "suspicion_notices_sent", counters.suspicion_notices_sent_);
+  Counter(text, "charge_writes", counters.charge_writes_);
   Counter(text, "late_replies", counters.late_replies_);
   Counter(text, "store_calls", counters.store_calls_);
   Counter(text, "store_failures", counters.store_failures_);
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -76,6 +76,10 @@
   }
   void operator()(AnnounceNode&) const { shell_.store_.announce_(); }
   void operator()(ReadNodes&) const { shell_.store_.read_nodes_(); }
+  void operator()(ReadCharges&) const { shell_.store_.read_charges_(); }
+  void operator()(SaveCharges& effect) const {
+    shell_.store_.save_charges_(effect);
+  }
   void operator()(ApplyClientLimits& effect) const {
     shell_.clients_.SetOptions(shell_.ServerOptions(effect.limits_));
   }
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -63,8 +63,11 @@
   std::function<void()> read_table_;  // reads the newest routing document
   // Waits for a routing document at offset `from` or later, for at most `wait`.
   std::function<void(std::uint64_t from, Duration wait)> await_table_;
-  std::function<void()> announce_;    // lists this node in the store
-  std::function<void()> read_nodes_;  // reads the nodes that the store lists
+  std::function<void()> announce_;      // lists this node in the store
+  std::function<void()> read_nodes_;    // reads the nodes that the store lists
+  std::function<void()> read_charges_;  // reads all that save_charges_ has kept
+  // Replaces the charges that the store keeps for a content; none: removes it.
+  std::function<void(const SaveCharges&)> save_charges_;
 };
 
 // Addresses and limits of one relay process.
--- a/standins/platform/store_standin.cc
+++ b/standins/platform/store_standin.cc
@@ -49,7 +49,11 @@
   Topic& topic = topics_[name];
   const Record record{topic.end_++, key, value};
   topic.records_.push_back(record);
-  topic.newest_[key] = record;
+  if (value.empty()) {
+    topic.newest_.erase(key);
+  } else {
+    topic.newest_[key] = record;
+  }
   std::vector<std::uint64_t> answered;
   for (const auto& [id, reader] : readers_) {
     if (reader.topic_ == name) answered.push_back(id);
