Soak, fuzz: messages with a part that never ends

Soak: every 400 ms a client, or a backend server on all its open connections, sends one of eight parts without end until the relay closes, beside all other faults. A random generator of its own draws them, so that the plan and the requests of a seed are as before. Memory (64 MB a process) and times of answers are checked as ever.

Fuzz: the second byte of an input of fuzz_http1 says how many bytes at its end are repeated; the reader must refuse or complete within 64 KB, with limits of 2 KB and 4 KB for header and body.

--- a/fuzz/fuzz_http1.cc
+++ b/fuzz/fuzz_http1.cc
@@ -1,5 +1,7 @@
 // Fuzzes the HTTP/1.1 request and response readers with input that arrives in
-// pieces. The first byte of the input is the piece size minus one.
+// pieces, and with input whose end is repeated as by a sender that never stops.
+// The first byte of the input is the piece size minus one, the second the
+// number of bytes at its end that are repeated; 0: none are.
 
 #include <cstdlib>
 
@@ -33,6 +35,29 @@
   return false;
 }
 
+// More than any message within kLimits has, whatever its chunks and interim
+// responses look like.
+constexpr std::size_t kEndlessBytes = 64 * 1024;
+
+// Checks that a reader refuses or completes a message whose end is repeated.
+template <typename Reader>
+void CheckEndless(Reader reader, std::string_view bytes, std::size_t repeated) {
+  if (repeated == 0) return;
+  const std::string_view end =
+      bytes.substr(bytes.size() - std::min(repeated, bytes.size()));
+  std::string endless(bytes);
+  while (endless.size() < kEndlessBytes) endless += end;
+  constexpr std::size_t kPiece = 4096;
+  std::string inbox;
+  for (std::size_t at = 0; at < endless.size(); at += kPiece) {
+    inbox += endless.substr(at, kPiece);
+    const Http1Progress progress = reader.Read(inbox);
+    inbox.erase(0, progress.consumed_);
+    if (progress.complete_ || progress.fault_ != Http1Fault::kNone) return;
+  }
+  std::abort();
+}
+
 void CheckRequest(std::string_view bytes, std::size_t piece) {
   Http1RequestReader reader(kLimits);
   if (!ReadPieces(reader, bytes, piece)) return;
@@ -62,11 +87,19 @@
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
-  if (size < 2) return 0;
-  const std::string_view bytes(reinterpret_cast<const char*>(data) + 1,
-                               size - 1);
+  constexpr std::size_t kControlBytes = 2;
+  if (size <= kControlBytes) return 0;
+  const std::string_view bytes(
+      reinterpret_cast<const char*>(data) + kControlBytes,
+      size - kControlBytes);
   const std::size_t piece = 1 + data[0];
+  const std::size_t repeated = data[1];
   jujubefront::CheckRequest(bytes, piece);
   jujubefront::CheckResponse(bytes, piece);
+  jujubefront::CheckEndless(
+      jujubefront::Http1RequestReader(jujubefront::kLimits), bytes, repeated);
+  jujubefront::CheckEndless(
+      jujubefront::Http1ResponseReader(jujubefront::kLimits, false), bytes,
+      repeated);
   return 0;
 }
--- a/src/sidecar/charge_record.cc
+++ b/src/sidecar/charge_record.cc
@@ -56,10 +56,9 @@
   QJsonArray encoded;
   for (const ContentCharge& charge : charges) {
     const auto age = std::chrono::duration_cast<milliseconds>(charge.age_);
-    encoded.append(
-        QJsonObject{{kCaller, FormatHash(charge.caller_)},
-                    {kIncarnation, FormatHash(charge.incarnation_)},
-                    {kAge, static_cast<qint64>(age.count())}});
+    encoded.append(QJsonObject{{kCaller, FormatHash(charge.caller_)},
+                               {kIncarnation, FormatHash(charge.incarnation_)},
+                               {kAge, static_cast<qint64>(age.count())}});
   }
   const QJsonObject record{
       {kSavedAt, static_cast<qint64>(now.time_since_epoch().count())},
--- a/standins/soak/loopback_proxy.cc
+++ b/standins/soak/loopback_proxy.cc
@@ -5,6 +5,8 @@
 namespace jujubefront {
 namespace {
 
+constexpr Duration kBlockInterval = std::chrono::milliseconds(2);
+
 std::chrono::milliseconds Millis(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
@@ -15,6 +17,7 @@
   TcpConnection* caller_ = nullptr;
   TcpConnection* server_ = nullptr;
   SilencedDirections silenced_;
+  EndlessPart endless_;
 };
 
 LoopbackProxy::LoopbackProxy(std::string server)
@@ -40,6 +43,26 @@
   }
 }
 
+void LoopbackProxy::AnswerWithoutEnd(const EndlessPart& part, Duration limit) {
+  for (auto& [id, pair] : pairs_) {
+    pair->silenced_.to_caller_ = true;
+    pair->endless_ = part;
+    pair->caller_->Write(FirstLine(part, true));
+    pair->caller_->Write(part.begin_);
+    WriteEndless(id, limit);
+  }
+}
+
+void LoopbackProxy::WriteEndless(std::uint64_t id, Duration left) {
+  QTimer::singleShot(Millis(kBlockInterval), this, [this, id, left] {
+    const auto found = pairs_.find(id);
+    if (found == pairs_.end()) return;
+    if (left <= Duration::zero()) return Remove(id, true);
+    WriteMore(*found->second->caller_, found->second->endless_);
+    WriteEndless(id, left - kBlockInterval);
+  });
+}
+
 void LoopbackProxy::OnCaller(TcpConnection* caller) {
   TcpConnection* server = TcpConnection::Open(server_, {});
   if (server == nullptr) return caller->Abort();
--- a/standins/soak/loopback_proxy.h
+++ b/standins/soak/loopback_proxy.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "endless_bytes.h"
 #include "netio/tcp_listener.h"
 
 namespace jujubefront {
@@ -38,6 +39,10 @@
   // Drops data in these directions on connections opened until the next call.
   void SilenceNew(SilencedDirections directions) { silence_new_ = directions; }
 
+  // On every open connection, sends the caller a response with this part until
+  // the caller closes it, or for `limit`. Data of the server is dropped.
+  void AnswerWithoutEnd(const EndlessPart& part, Duration limit);
+
   std::size_t connections() const { return pairs_.size(); }
 
  private:
@@ -47,6 +52,7 @@
   void Forward(std::uint64_t id, bool to_server);
   void OnEnd(std::uint64_t id, bool of_caller, ConnectionEnd end);
   void Remove(std::uint64_t id, bool reset);
+  void WriteEndless(std::uint64_t id, Duration left);
 
   std::string server_;
   Duration delay_ = Duration::zero();
--- a/standins/soak/main.cc
+++ b/standins/soak/main.cc
@@ -23,6 +23,8 @@
             << " MB, longest stall of the test "
             << result.longest_stall_ / std::chrono::milliseconds(1)
             << " ms, violations " << result.violations_.size() << '\n';
+  std::cout << "  endless: requests " << result.endless_requests_
+            << "; responses " << result.endless_responses_ << ";\n";
   PrintCounts("faults", result.faults_);
   PrintCounts("answers", result.statuses_);
   for (const SoakViolation& violation : result.violations_) {
--- a/standins/soak/soak_run.cc
+++ b/standins/soak/soak_run.cc
@@ -33,6 +33,10 @@
 constexpr const char* kCrashTarget = "/read/crash";
 constexpr Duration kCrashDownTime = std::chrono::milliseconds(300);
 constexpr Duration kCrashInterval = std::chrono::milliseconds(300);
+// Clients and backend servers that send a part of a message without end. One
+// sender keeps on for kEndlessLimit unless the relay closes the connection.
+constexpr Duration kEndlessInterval = std::chrono::milliseconds(400);
+constexpr Duration kEndlessLimit = std::chrono::seconds(1);
 // First character of the ids of requests with the crashing content, and of all
 // others.
 constexpr char kCrashId = 'c';
@@ -101,6 +105,7 @@
   explicit Soak(const SoakOptions& options)
       : options_(options),
         random_{MixBits(options.plan_.seed_)},
+        endless_random_{MixBits(~options.plan_.seed_)},
         hosts_({.program_ = options.program_,
                 .hosts_ = options.plan_.hosts_,
                 .trace_sample_ = 1}),
@@ -128,6 +133,7 @@
     Recover();
     send_timer_.stop();
     crash_timer_.stop();
+    endless_timer_.stop();
     // Requests in flight end by their deadlines.
     WaitUntil(std::chrono::seconds(2), [this] { return open_.empty(); });
     Finish();
@@ -217,6 +223,9 @@
     QObject::connect(&crash_timer_, &QTimer::timeout, this,
                      [this] { SendCrashing(); });
     crash_timer_.start(Millis(kCrashInterval));
+    QObject::connect(&endless_timer_, &QTimer::timeout, this,
+                     [this] { SendEndless(); });
+    endless_timer_.start(Millis(kEndlessInterval));
     QObject::connect(&version_timer_, &QTimer::timeout, this,
                      [this] { Probe(); });
     version_timer_.start(Millis(kVersionPoll));
@@ -247,6 +256,20 @@
     Send(NextBelow(random_, states_.size()), kCrashId, kCrashTarget);
   }
 
+  // Draws from a generator of its own, so that the faults and requests of a
+  // seed stay as they are.
+  void SendEndless() {
+    const std::size_t index = NextBelow(endless_random_, states_.size());
+    const EndlessPart& part =
+        kEndlessParts[NextBelow(endless_random_, kEndlessParts.size())];
+    if (NextBelow(endless_random_, 2) == 0) {
+      ++result_.endless_requests_;
+      return SendEndlessRequest(host(index).clients(), part, kEndlessLimit);
+    }
+    ++result_.endless_responses_;
+    states_[index].backend_->AnswerWithoutEnd(part, kEndlessLimit);
+  }
+
   // Sends a request and returns its number.
   std::uint64_t Send(std::size_t index, char kind, const std::string& target) {
     const std::uint64_t remaining_ms = 200 + NextBelow(random_, 1200);
@@ -667,12 +690,14 @@
 
   SoakOptions options_;
   RandomState random_;
+  RandomState endless_random_;
   SidecarHosts hosts_;
   std::vector<HostState> states_;
   SoakObservations seen_;
   SoakResult result_;
   QTimer send_timer_;
   QTimer crash_timer_;
+  QTimer endless_timer_;
   QTimer version_timer_;
   QTimer stall_timer_;
   std::set<std::uint64_t> open_;
--- a/standins/soak/soak_run.h
+++ b/standins/soak/soak_run.h
@@ -25,6 +25,9 @@
   bool started_ = false;
   std::map<std::string, int> faults_;  // by kind
   std::map<int, int> statuses_;        // by status
+  // Messages that were sent with a part without end.
+  int endless_requests_ = 0;
+  int endless_responses_ = 0;
   std::size_t runs_ = 0;
   std::uint64_t logged_runs_ = 0;              // in the logs of the relays
   Duration longest_stall_ = Duration::zero();  // of the event loop of the test
