Regions: what one does not admit, another with free slots runs

Until now a request that admission refused was told to come back, also while the other region had free slots; only requests that were admitted, and found no host with a free slot, could cross.

Change: the first host of a zone sends the loads of its services every 2 s to regions whose hosts' last statuses show a service with all slots in use, and only to these, as links between regions are narrow. There PlanOverflow distributes the free slots, less a reserve of 0.3, over the requests that are not admitted, by priority and by the cost of their whole call trees: a tree runs in one region. The plan adds back what overflows already, which the other region reports as used, and follows gradually, as reports are seconds old. Routes whose objective is shorter than four round trips are left out. A request that overflows is sent to that region only, to hosts with enough free slots, or refused as before.

--- a/src/allocation/tests/allocation_tests.cc
+++ b/src/allocation/tests/allocation_tests.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "allocation/allocation.h"
+#include "allocation/overflow.h"
 #include "allocation/tree_success.h"
 
 namespace jujubefront {
@@ -31,6 +32,8 @@
   CPPUNIT_TEST(AllocatesLessWhereRunsWait);
   CPPUNIT_TEST(TreesCompleteAtARejectingLeaf);
   CPPUNIT_TEST(ReturningRequestsGoFirst);
+  CPPUNIT_TEST(OverflowTakesFreeSlotsOfTheWholeTree);
+  CPPUNIT_TEST(OverflowSettlesAtTheFreeSlots);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -152,6 +155,99 @@
                                    1e-9);
     }
   }
+
+  // Guards against requests that another region admits to one service and
+  // cannot complete at the next, and against less important requests that take
+  // its free slots first. Needed at the leaf for a request: deposit 0.4 s,
+  // check 0.2 s; at the front 0.2 s and 0.1 s.
+  void OverflowTakesFreeSlotsOfTheWholeTree() {
+    struct Row {
+      const char* name_;
+      std::vector<RemoteRegion> regions_;
+      double deposit_;
+      double check_;
+      const char* region_;
+    };
+    const Row rows[] = {
+        {"no other region", {}, 0.0, 0.0, ""},
+        {"slots for all",
+         {{"south", {{"front", {100, 0}}, {"leaf", {100, 0}}}}},
+         1.0,
+         1.0,
+         "south"},
+        {"leaf is full",
+         {{"south", {{"front", {100, 0}}, {"leaf", {100, 70}}}}},
+         0.0,
+         0.0,
+         ""},
+        {"leaf is not known", {{"south", {{"front", {100, 0}}}}}, 0.0, 0.0, ""},
+        {"slots for the more important route",
+         {{"south", {{"front", {100, 0}}, {"leaf", {10, 5}}}}},
+         1.0,
+         0.0,
+         "south"},
+        {"the region with more free slots",
+         {{"south", {{"front", {100, 0}}, {"leaf", {100, 69}}}},
+          {"west", {{"front", {100, 0}}, {"leaf", {100, 0}}}}},
+         1.0,
+         1.0,
+         "west"},
+    };
+    const std::vector<RouteDemand> demands = {
+        {.route_ = "check", .priority_ = 2, .per_second_ = 10},
+        {.route_ = "deposit", .priority_ = 0, .per_second_ = 10}};
+    for (const Row& row : rows) {
+      std::map<std::string, RouteOverflow> plan;
+      // Repeated, as a plan follows its inputs gradually. The other regions
+      // report the planned runs as well.
+      for (int i = 0; i < 30; ++i) {
+        std::vector<RemoteRegion> regions = row.regions_;
+        for (const auto& [route, overflow] : plan) {
+          for (RemoteRegion& region : regions) {
+            if (region.region_ != overflow.region_) continue;
+            for (const auto& [service, cost] : TreeCost(FanOut(), route)) {
+              region.services_[service].runs_ += cost * overflow.per_second_;
+            }
+          }
+        }
+        plan =
+            PlanOverflow(FanOut(), demands, {{"deposit", 0.5}, {"check", 0.0}},
+                         regions, plan, {.reserved_share_ = 0.3});
+      }
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(row.name_, row.deposit_,
+                                           plan["deposit"].share_, 0.02);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(row.name_, row.check_,
+                                           plan["check"].share_, 0.02);
+      if (row.deposit_ > 0.0) {
+        CPPUNIT_ASSERT_EQUAL(std::string(row.region_), plan["deposit"].region_);
+      }
+    }
+  }
+
+  // The other region's report is four plans old and contains what overflows
+  // already. Guards against a plan that alternates between everything and
+  // nothing, and against one that uses reserved slots.
+  void OverflowSettlesAtTheFreeSlots() {
+    constexpr double kOwnRuns = 20.0;
+    constexpr std::size_t kReportAge = 4;
+    const std::vector<RouteDemand> demands = {
+        {.route_ = "check", .per_second_ = 400}};
+    std::map<std::string, RouteOverflow> plan;
+    std::vector<double> overflowing(kReportAge, 0.0);  // runs at the leaf
+    for (int i = 0; i < 80; ++i) {
+      const double reported = overflowing[overflowing.size() - kReportAge];
+      plan = PlanOverflow(
+          FanOut(), demands, {{"check", 0.0}},
+          {{"south",
+            {{"front", {1000, 0}}, {"leaf", {100, kOwnRuns + reported}}}}},
+          plan, {.reserved_share_ = 0.3});
+      overflowing.push_back(plan["check"].per_second_ * 0.2);
+      CPPUNIT_ASSERT(overflowing.back() <= 80.0);
+    }
+    for (std::size_t i = overflowing.size() - 20; i < overflowing.size(); ++i) {
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(50.0, overflowing[i], 5.0);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AllocationTests);
--- a/src/relay/internal/demand.cc
+++ b/src/relay/internal/demand.cc
@@ -122,6 +122,49 @@
   }
 }
 
+// Longest round trip to a connected host of a region; nullopt if none is known.
+std::optional<Duration> RoundTripTo(const RelayStep& step,
+                                    const std::string& region) {
+  std::optional<Duration> longest;
+  for (const auto& [address, peer] : step.state_.peers_) {
+    if (!peer.connected_ || peer.status_.region_ != region) continue;
+    longest = std::max(longest.value_or(Duration::zero()), peer.round_trip_);
+  }
+  return longest;
+}
+
+// Plans what other regions run of what this region does not admit. A route
+// whose latency objective the round trip would use up is left out: its clients
+// do better by coming back.
+void UpdateOverflow(RelayStep& step, const RegionView& view,
+                    const std::vector<RouteDemand>& demands) {
+  constexpr int kMinRoundTripsInObjective = 4;
+  RelayState& state = step.state_;
+  if (!step.options_.overflows_to_other_regions_) return;
+  const std::vector<RemoteRegion> regions = BuildRemoteRegions(step);
+  state.overflow_ =
+      PlanOverflow(view.profiles_, demands, state.admitted_, regions,
+                   state.overflow_, step.options_.overflow_);
+  std::map<std::string, std::optional<Duration>> round_trips;
+  for (const RemoteRegion& region : regions) {
+    round_trips[region.region_] = RoundTripTo(step, region.region_);
+  }
+  std::map<std::string, Duration> objectives;
+  for (const RouteRule& route : state.table_.routes_) {
+    objectives[route.name_] = route.latency_objective_;
+  }
+  std::erase_if(state.overflow_, [&](const auto& entry) {
+    const auto round_trip = round_trips[entry.second.region_];
+    return !round_trip ||
+           objectives[entry.first] < *round_trip * kMinRoundTripsInObjective;
+  });
+}
+
+double FindOverflowShare(const RelayState& state, const std::string& route) {
+  const auto found = state.overflow_.find(route);
+  return found == state.overflow_.end() ? 0.0 : found->second.share_;
+}
+
 // Logs admitted shares that have changed by 0.1 or more.
 void LogAdmission(RelayStep& step, const std::map<std::string, double>& before,
                   const RegionView& view) {
@@ -138,6 +181,7 @@
                     {"before", was},
                     {"trees_fail",
                      std::int64_t{step.state_.failing_routes_.contains(route)}},
+                    {"overflow", FindOverflowShare(step.state_, route)},
                     {"demand_per_s", demand == view.demands_.end()
                                          ? 0.0
                                          : demand->second.per_second_}}});
@@ -230,6 +274,7 @@
       Allocate(view.profiles_, demands, slots, step.options_.allocation_);
   state.rejected_shares_ = ComputeRejectedShares(view);
   ReduceFailingTrees(step, view);
+  UpdateOverflow(step, view, demands);
   LogAdmission(step, before, view);
   state.profiles_ = std::move(view.profiles_);
 }
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -438,6 +438,17 @@
          (request.is_returning_ ? split.returning_ : split.fresh_);
 }
 
+// Draws whether another region runs a request that is not admitted.
+bool TakesOverflow(RelayStep& step, OpenRequest& request) {
+  const auto found = step.state_.overflow_.find(request.route_);
+  if (found == step.state_.overflow_.end()) return false;
+  if (NextUnit(step.state_.random_) >= found->second.share_) return false;
+  request.overflow_region_ = found->second.region_;
+  if (!FindCandidates(step, request).empty()) return true;
+  request.overflow_region_.clear();
+  return false;
+}
+
 }  // namespace
 
 void OnRequest(RelayStep& step, RequestArrived& arrived) {
@@ -473,8 +484,11 @@
     return Refuse(step, request, ReasonText(NotRunReason::kStopping));
   }
   if (!IsAdmitted(step, request)) {
-    ++step.state_.counters_.refused_at_entry_;
-    return Refuse(step, request, "not admitted under load");
+    if (!TakesOverflow(step, request)) {
+      ++step.state_.counters_.refused_at_entry_;
+      return Refuse(step, request, "not admitted under load");
+    }
+    ++step.state_.counters_.overflowed_;
   }
   EarnRetriesForFirstSend(step, request);
   SendOrGiveUp(step, request, "");
--- a/src/relay/internal/host_choice.cc
+++ b/src/relay/internal/host_choice.cc
@@ -81,6 +81,8 @@
     if (peer.avoided_ && !with_avoided) continue;
     if (!CanTakeRequest(step, peer, request)) continue;
     const HostStatus& status = peer.status_;
+    const bool overflows = !request.overflow_region_.empty();
+    if (overflows && status.region_ != request.overflow_region_) continue;
     const auto reported =
         static_cast<double>(status.running_ + status.waiting_);
     candidates.push_back(
@@ -91,6 +93,10 @@
                   peer.sent_since_report_,
          .hold_ = HoldTimeAt(peer, request.route_),
          .failure_share_ = DecayedFailureShare(peer.failure_rate_, step.now_)});
+    if (overflows && !HasCapacityForRemoteRequests(candidates.back(),
+                                                   step.options_.placement_)) {
+      candidates.pop_back();
+    }
   }
   FillUnknownHoldTimes(candidates);
   return candidates;
--- a/src/relay/internal/zone_sums.cc
+++ b/src/relay/internal/zone_sums.cc
@@ -1,6 +1,7 @@
 #include "relay/internal/zone_sums.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 #include "base/hashing.h"
@@ -18,6 +19,8 @@
 // out of the region view together, so that the plan for the other zones stays
 // balanced.
 constexpr Duration kSumTtl = std::chrono::seconds(4);
+// The same for a sum of another region's zone, which is sent more rarely.
+constexpr Duration kRemoteSumTtl = std::chrono::seconds(7);
 // Hosts of each other zone that receive the sum, one at a time in turn.
 constexpr std::size_t kReceiversPerZone = 2;
 
@@ -164,16 +167,64 @@
          !peer.status_.leaving_ && step.now_ - peer.status_at_ <= status_age;
 }
 
-void SendToOtherZones(RelayStep& step, const ZoneSum& sum) {
+// One of the hosts that receive sums for their zone, by turns.
+const Peer& SelectReceiver(const std::vector<const Peer*>& hosts,
+                           const ZoneSum& sum) {
   const std::size_t index = sum.sequence_ % kReceiversPerZone;
+  return *hosts[std::min(index, hosts.size() - 1)];
+}
+
+void SendSum(RelayStep& step, const Peer& receiver, const ZoneSum& sum) {
+  ++step.state_.counters_.zone_sums_sent_;
+  step.effects_.emplace_back(
+      SendToPeer{.peer_ = receiver.address_, .message_ = sum});
+}
+
+void SendToOtherZones(RelayStep& step, const ZoneSum& sum) {
   for (const auto& [zone, hosts] : TopRankedHostsByZone(
            step, kReceiversPerZone, MaxStatusAge(step.options_))) {
-    const Peer& first = *hosts.front();
-    if (first.status_.region_ != step.options_.region_) continue;
-    const Peer& receiver = *hosts[std::min(index, hosts.size() - 1)];
-    ++step.state_.counters_.zone_sums_sent_;
-    step.effects_.emplace_back(
-        SendToPeer{.peer_ = receiver.address_, .message_ = sum});
+    if (hosts.front()->status_.region_ != step.options_.region_) continue;
+    SendSum(step, SelectReceiver(hosts, sum), sum);
+  }
+}
+
+// Other regions with a service whose slots are all in use, by the last statuses
+// of its hosts. These may be some seconds old.
+std::set<std::string> FindSaturatedRegions(const RelayStep& step) {
+  std::map<std::pair<std::string, std::string>, RemoteService> services;
+  for (const auto& [address, peer] : step.state_.peers_) {
+    const HostStatus& status = peer.status_;
+    if (!peer.known_ || status.region_ == step.options_.region_) continue;
+    if (status.backend_ != BackendState::kReady || status.leaving_) continue;
+    RemoteService& service = services[{status.region_, status.service_}];
+    service.slots_ += status.slots_;
+    service.runs_ += status.running_ + status.waiting_;
+  }
+  std::set<std::string> regions;
+  for (const auto& [key, service] : services) {
+    if (service.slots_ > 0.0 && service.runs_ >= service.slots_) {
+      regions.insert(key.first);
+    }
+  }
+  return regions;
+}
+
+// Reports the loads of the local zone to regions that lack slots. Links between
+// regions are narrow, so nothing is sent while all regions have free slots.
+void SendToOtherRegions(RelayStep& step, ZoneSum sum) {
+  if (!step.options_.overflows_to_other_regions_) return;
+  Timestamp& sent_at = step.state_.remote_zone_sums_sent_at_;
+  if (step.now_ - sent_at < step.options_.remote_zone_sum_interval_) return;
+  const std::set<std::string> saturated = FindSaturatedRegions(step);
+  if (saturated.empty()) return;
+  sent_at = step.now_;
+  sum.profiles_.clear();
+  sum.demands_.clear();
+  sum.arrivals_.clear();
+  for (const auto& [zone, hosts] : TopRankedHostsByZone(
+           step, kReceiversPerZone, step.options_.forget_after_)) {
+    if (!saturated.contains(hosts.front()->status_.region_)) continue;
+    SendSum(step, SelectReceiver(hosts, sum), sum);
   }
 }
 
@@ -223,19 +274,43 @@
   return view;
 }
 
+std::vector<RemoteRegion> BuildRemoteRegions(const RelayStep& step) {
+  std::map<std::string, RemoteRegion> regions;
+  for (const auto& [zone, known] : step.state_.remote_zone_sums_) {
+    if (step.now_ - known.received_at_ > kRemoteSumTtl) continue;
+    RemoteRegion& region = regions[known.sum_.region_];
+    region.region_ = known.sum_.region_;
+    for (const ServiceLoad& load : known.sum_.services_) {
+      RemoteService& service = region.services_[load.service_];
+      // Slots of backend servers that reject a share serve that much less.
+      service.slots_ += load.slots_ - load.rejected_slots_;
+      service.runs_ += load.runs_;
+    }
+  }
+  std::vector<RemoteRegion> list;
+  for (auto& [name, region] : regions) list.push_back(std::move(region));
+  return list;
+}
+
 void TickZoneSums(RelayStep& step) {
   std::erase_if(step.state_.zone_sums_, [&](const auto& entry) {
     return step.now_ - entry.second.received_at_ > kSumTtl;
   });
+  std::erase_if(step.state_.remote_zone_sums_, [&](const auto& entry) {
+    return step.now_ - entry.second.received_at_ > kRemoteSumTtl;
+  });
   if (step.state_.stopping_ || !IsAggregator(step)) return;
-  SendToOtherZones(step, BuildZoneSum(step, BuildLocalZoneView(step)));
+  const ZoneSum sum = BuildZoneSum(step, BuildLocalZoneView(step));
+  SendToOtherZones(step, sum);
+  SendToOtherRegions(step, sum);
 }
 
 void OnZoneSum(RelayStep& step, std::uint64_t connection_id, ZoneSum& sum) {
   RelayState& state = step.state_;
   if (sum.zone_ == step.options_.zone_) return;
-  if (sum.region_ != step.options_.region_) return;
-  KnownZoneSum& known = state.zone_sums_[sum.zone_];
+  const bool is_remote = sum.region_ != step.options_.region_;
+  KnownZoneSum& known = is_remote ? state.remote_zone_sums_[sum.zone_]
+                                  : state.zone_sums_[sum.zone_];
   const bool same_aggregator =
       known.sum_.aggregator_ == sum.aggregator_ &&
       known.sum_.aggregator_boot_ == sum.aggregator_boot_;
--- a/src/relay/internal/zone_sums.h
+++ b/src/relay/internal/zone_sums.h
@@ -25,6 +25,9 @@
 
 RegionView BuildRegionView(const RelayStep& step);
 
+// Loads of the services of each other region, from the sums of its zones.
+std::vector<RemoteRegion> BuildRemoteRegions(const RelayStep& step);
+
 // Removes expired sums of other zones. If this node is the aggregator of its
 // zone, sends the local zone's sum to the region's other zones.
 void TickZoneSums(RelayStep& step);
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "allocation/allocation.h"
+#include "allocation/overflow.h"
 #include "base/hashing.h"
 #include "callgraph/callgraph.h"
 #include "placement/placement.h"
@@ -37,6 +38,12 @@
   std::uint64_t seed_ = 0;          // of the random number generator
   PlacementOptions placement_;
   AllocationOptions allocation_;
+  // Sends requests that are not admitted to another region with free slots.
+  bool overflows_to_other_regions_ = true;
+  OverflowOptions overflow_;
+  // Interval of zone sums to other regions, which are sent only there where
+  // backend servers seem to be saturated.
+  Duration remote_zone_sum_interval_ = std::chrono::seconds(2);
   // Fleet-wide bound on retries to one service: a fraction of its first sends,
   // plus a number of retries that are free in each window.
   double retry_ratio_ = 0.2;
@@ -136,6 +143,8 @@
   std::uint32_t sends_ = 0;    // sends that may have reached a backend server
   std::uint32_t total_sends_ = 0;  // all sends
   bool may_have_run_ = false;
+  // Region whose hosts alone may run it; empty: no restriction.
+  std::string overflow_region_;
   std::string_view no_resend_;      // why it was not resent, for the log
   std::vector<std::string> tried_;  // addresses of hosts it was sent to
 };
@@ -356,6 +365,7 @@
   std::uint64_t repeats_at_host_ = 0;  // runs repeated after a rejection
   std::uint64_t zone_crossings_ = 0;
   std::uint64_t region_crossings_ = 0;
+  std::uint64_t overflowed_ = 0;  // not admitted, sent to another region
   std::uint64_t runs_ = 0;
   std::uint64_t runs_refused_ = 0;
   std::uint64_t runs_broken_ = 0;
@@ -405,7 +415,10 @@
   std::map<std::string, Peer> peers_;
   // Peers and the local host, by the service of their backend server.
   std::map<std::string, std::map<std::string, Peer*>> hosts_of_service_;
-  std::map<std::string, KnownZoneSum> zone_sums_;  // of other zones
+  std::map<std::string, KnownZoneSum> zone_sums_;  // of the region's zones
+  // Of the zones of other regions, with the loads of services only.
+  std::map<std::string, KnownZoneSum> remote_zone_sums_;
+  Timestamp remote_zone_sums_sent_at_;
   std::uint64_t zone_sum_sequence_ = 0;
   Timestamp last_tick_at_;
   Timestamp avoided_at_;  // when a peer was last marked as avoided
@@ -430,6 +443,8 @@
   std::map<std::string, RouteProfile> profiles_;
   std::map<std::string, ServicePressure> pressure_;  // by service
   std::map<std::string, double> admitted_;  // share by route; absent: all
+  // Other regions that run requests which are not admitted, by route.
+  std::map<std::string, RouteOverflow> overflow_;
   // Routes whose call trees seldom complete at present because a service in
   // them rejects much of what arrives.
   std::set<std::string> failing_routes_;
--- a/src/relay/tests/zone_sum_tests.cc
+++ b/src/relay/tests/zone_sum_tests.cc
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(NewestSumOfAZoneIsStored);
   CPPUNIT_TEST(ExpiredSumsAreLeftOut);
   CPPUNIT_TEST(SumsAreForwardedOnceWithinTheZone);
+  CPPUNIT_TEST(OnlyRegionsWithoutFreeSlotsReceiveSums);
   CPPUNIT_TEST(OtherZonesReceiveFewStatuses);
   CPPUNIT_TEST(NewDocumentsAreSentToFewHostsOfAnotherZone);
   CPPUNIT_TEST(FrequentDocumentsAreReadTogether);
@@ -231,6 +232,66 @@
     }
   }
 
+  // A region without free slots learns from the zones of others what they could
+  // run for it. Guards against reports over the narrow links between regions
+  // that nobody needs, and against sums of other regions that enter the plan
+  // for the local one.
+  void OnlyRegionsWithoutFreeSlotsReceiveSums() {
+    struct Row {
+      const char* name_;
+      std::uint32_t running_;
+      bool ranks_first_;
+      std::size_t min_sums_;
+      std::size_t max_sums_;
+    };
+    const Row rows[] = {
+        {"free slots there", 3, true, 0, 0},
+        {"no free slots there", 4, true, 2, 4},
+        {"no free slots there, another host aggregates", 4, false, 0, 0},
+    };
+    for (const Row& row : rows) {
+      Zones zones(2, row.ranks_first_ ? OptionsOfAggregator()
+                                      : RelayHarness::DefaultOptions());
+      RelayHarness& harness = zones.harness_;
+      std::size_t sums = 0;
+      for (int i = 0; i < 6; ++i) {
+        HostStatus remote = StatusOf(harness, 11, kOtherZone);
+        remote.region_ = "r2";
+        remote.slots_ = 4;
+        remote.running_ = row.running_;
+        ReceiveStatus(harness, remote, 11);
+        HostStatus second = StatusOf(harness, 12, kOtherZone);
+        second.region_ = "r2";
+        second.running_ = second.slots_;
+        if (row.running_ < 4) second.running_ = 0;
+        ReceiveStatus(harness, second, 12);
+        for (int host = 1; host <= 2; ++host) {
+          ReceiveStatus(harness, StatusOf(harness, host, kLocalZone), host);
+        }
+        harness.RunFor(std::chrono::seconds(1));
+        for (const auto& [receiver, sum] : TakeSums(harness)) {
+          CPPUNIT_ASSERT(sum.profiles_.empty() && sum.demands_.empty());
+          CPPUNIT_ASSERT(!sum.services_.empty());
+          ++sums;
+        }
+      }
+      const std::string figures = row.name_ + (": " + std::to_string(sums));
+      CPPUNIT_ASSERT_MESSAGE(figures, sums >= row.min_sums_);
+      CPPUNIT_ASSERT_MESSAGE(figures, sums <= row.max_sums_);
+      ZoneSum received = SumOfOtherZone("a", 5, 12);
+      received.zone_ = "z9";
+      received.region_ = "r2";
+      harness.Feed(LinkReceived{.connection_id_ = 11, .message_ = received});
+      CPPUNIT_ASSERT(harness.state().zone_sums_.empty());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           harness.state().remote_zone_sums_.size());
+      // Forwarded to both other hosts of the local zone.
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, TakeSums(harness).size());
+      harness.RunFor(std::chrono::seconds(9));
+      CPPUNIT_ASSERT(harness.state().remote_zone_sums_.empty());
+    }
+  }
+
   // If no sum of a zone arrives for some seconds, the last one no longer
   // describes it. Its demand and its slots are then left out together: leaving
   // out one of them would make the plan for the remaining zones wrong.
--- a/src/relaymodel/fleet_simulator.cc
+++ b/src/relaymodel/fleet_simulator.cc
@@ -124,6 +124,8 @@
                    .boot_ = NextRandom(random_),
                    .seed_ = NextRandom(random_)};
   node.options_.trace_sample_ = 0;
+  node.options_.overflows_to_other_regions_ =
+      policy_.overflows_to_other_regions_;
   if (!policy_.admits_at_entry_) {
     node.options_.allocation_.utilisation_ = kUnlimitedUtilisation;
   }
--- a/src/relaymodel/fleet_types.h
+++ b/src/relaymodel/fleet_types.h
@@ -54,6 +54,9 @@
   std::string name_;
   bool admits_at_entry_ = true;  // otherwise each host limits only its own load
   bool uses_priorities_ = true;  // otherwise all requests are equal
+  // Otherwise what one region does not admit is refused, whatever slots the
+  // other has free.
+  bool overflows_to_other_regions_ = true;
   // Without relays, a request is sent to a random host of its service and waits
   // there in order of arrival. If max_waiting_ requests wait already, it is
   // answered with 503.
--- a/src/relaymodel/tests/relaymodel_tests.cc
+++ b/src/relaymodel/tests/relaymodel_tests.cc
@@ -2,6 +2,7 @@
 
 #include <QTemporaryDir>
 #include <boost/leaf/handle_errors.hpp>
+#include <iostream>
 
 #include "relaymodel/experiment.h"
 #include "relaymodel/fleets.h"
@@ -35,6 +36,7 @@
   CPPUNIT_TEST(SurgesAreShedByPriority);
   CPPUNIT_TEST(SurgesWithoutRelaysLoseImportantRequests);
   CPPUNIT_TEST(RetriesGoWhereTheySaveMost);
+  CPPUNIT_TEST(RegionWithoutSlotsUsesThoseOfTheOther);
   CPPUNIT_TEST(RecordsOfAnotherLoadAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
@@ -106,6 +108,62 @@
     }
   }
 
+  // Load pattern: the backend servers of one service in one region are lost, or
+  // have a fraction of their slots, while the other region has free slots.
+  // Planned apart, the first region refuses what the second could run; the
+  // second must not lose requests of its own clients by taking them over.
+  void RegionWithoutSlotsUsesThoseOfTheOther() {
+    struct Row {
+      const char* name_;
+      Fleet fleet_;
+      const char* service_;
+      double slots_share_;
+      double demand_;
+      bool fits_together_;
+    };
+    const Row rows[] = {
+        {"a quarter of the slots of the called service", BrolgaFleet(false),
+         "jobs", 0.25, 0.6, true},
+        {"a quarter of them, 66 hosts", BrolgaFleet(true), "jobs", 0.25, 0.6,
+         true},
+        {"a quarter of them, 97 hosts", LargeBrolgaFleet(), "jobs", 0.25, 0.6,
+         true},
+        {"a quarter of the slots of a root service", BrolgaFleet(false),
+         "warranty", 0.25, 0.6, true},
+        {"free slots in both regions", BrolgaFleet(false), "jobs", 1.0, 0.6,
+         true},
+        {"no free slots in either region", BrolgaFleet(false), "jobs", 1.0, 2.0,
+         false},
+        {"a quarter of the slots, high demand", FuktlanFleet(false),
+         "matvarden", 0.25, 1.5, false},
+    };
+    for (const Row& row : rows) {
+      Fleet fleet = row.fleet_;
+      for (FleetHost& host : fleet.hosts_) {
+        if (host.region_ != "north" || host.service_ != row.service_) continue;
+        host.slots_ = static_cast<std::uint32_t>(
+            std::max(1.0, host.slots_ * row.slots_share_));
+      }
+      const FleetRunOptions options{.length_ = seconds(16),
+                                    .base_factor_ = row.demand_};
+      const FleetResult together = RunFleet(fleet, {}, options);
+      const FleetResult apart = RunFleet(
+          fleet, {.name_ = "apart", .overflows_to_other_regions_ = false},
+          options);
+      const std::string figures = std::string(row.name_) + ": " +
+                                  std::to_string(together.worth_share_) +
+                                  " together, " +
+                                  std::to_string(apart.worth_share_) + " apart";
+      CPPUNIT_ASSERT_MESSAGE(
+          figures, together.worth_share_ >= apart.worth_share_ - kMaxWorthLoss);
+      if (!row.fits_together_) continue;
+      for (const auto& [route, counts] : together.routes_) {
+        CPPUNIT_ASSERT_MESSAGE(figures + ", " + route,
+                               ServedShare(together, route.c_str()) >= 0.95);
+      }
+    }
+  }
+
   // The same surge without relays, where every request is sent to a host and
   // waits there, in a bounded or an unbounded queue. Important requests then
   // time out or are refused with the rest. With relays more of them must be
