--- a/src/allocation/overflow.cc
+++ b/src/allocation/overflow.cc
@@ -18,11 +18,10 @@
   std::map<std::string, double> slots_;
 };
 
-FreeSlots FindFreeSlots(
-    const RemoteRegion& region,
-    const std::map<std::string, RouteProfile>& profiles,
-    const std::map<std::string, RouteOverflow>& planned,
-    const OverflowOptions& options) {
+FreeSlots FindFreeSlots(const RemoteRegion& region,
+                        const std::map<std::string, RouteProfile>& profiles,
+                        const std::map<std::string, RouteOverflow>& planned,
+                        const OverflowOptions& options) {
   FreeSlots free{.region_ = region.region_};
   for (const auto& [service, use] : region.services_) {
     free.slots_[service] =
@@ -77,12 +76,10 @@
     const auto cost = TreeCost(profiles, demand.route_);
     if (refused <= 0.0 || cost.empty()) continue;
     const auto best = std::max_element(
-        free.begin(), free.end(),
-        [&](const FreeSlots& a, const FreeSlots& b) {
+        free.begin(), free.end(), [&](const FreeSlots& a, const FreeSlots& b) {
           return FittingRate(a, cost) < FittingRate(b, cost);
         });
-    const double share =
-        std::min(refused, FittingRate(*best, cost)) / refused;
+    const double share = std::min(refused, FittingRate(*best, cost)) / refused;
     const auto before = planned.find(demand.route_);
     const double previous =
         before == planned.end() ? 0.0 : before->second.share_;
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -155,6 +155,10 @@
   line["service"] = QString::fromStdString(options.service_);
   line["boot"] = QString::number(options.boot_);
   line["trace_sample"] = static_cast<qint64>(options.trace_sample_);
+  line["retry_ratio"] = options.retry_ratio_;
+  line["retry_slack"] = options.retry_slack_;
+  line["retry_window_us"] = static_cast<qint64>(options.retry_window_.count());
+  line["stop_limit_us"] = static_cast<qint64>(options.stop_limit_.count());
   WriteLine(std::move(line));
 }
 
