Workspaces: keys are checked, quotas kept over all nodes

Keys: the adapter decodes the customers into workspaces and holds their keys as keyed hashes. The entry checks the key of a request before anything else, again before each send, and removes it; the host sets the workspace's name whatever the client sent. Unknown key 401.

Quotas: every node counts what it sends by workspace; the first host of a zone adds the counts up four times a second and exchanges sums with the other zones. While a window has room for the demand of the next second nothing is refused; above that all nodes admit the same share. Priority of a workspace goes before that of the route where runs wait.

--- a/src/allocation/overflow.cc
+++ b/src/allocation/overflow.cc
@@ -60,6 +60,7 @@
     const OverflowOptions& options) {
   std::map<std::string, RouteOverflow> plan;
   std::vector<FreeSlots> free;
+  free.reserve(regions.size());
   for (const RemoteRegion& region : regions) {
     free.push_back(FindFreeSlots(region, profiles, planned, options));
   }
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -16,6 +16,8 @@
 // Retry-After while this node has no routing document yet.
 constexpr Duration kShortRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
+constexpr int kUnauthorized = 401;
+constexpr int kTooManyRequests = 429;
 // Clients honour a Retry-After of up to this fraction (one third) of the time
 // they have left.
 constexpr int kRetryAfterDivisor = 3;
@@ -63,6 +65,19 @@
              static_cast<double>((max_wait - min_wait).count()) * unit));
 }
 
+// Retry-After for a request over its workspace's quota: late in the time for
+// which clients wait, as the window of the quota is longer.
+Duration RetryAfterOverQuota(RelayStep& step, const RequestArrived& arrived,
+                             const RouteRule& route) {
+  const Duration left =
+      arrived.remaining_.value_or(route.timeout_) / kRetryAfterDivisor;
+  const Duration longest =
+      std::max(kMinRetryAfter, std::min(left, step.options_.quota_.window_));
+  const double unit = NextUnit(step.state_.random_);
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(longest.count()) * (0.5 + unit / 2)));
+}
+
 // Marks the run that made a failed call. If the run is not known, all local
 // runs in progress count as having a failed call.
 void RecordFailedCall(RelayStep& step, const OpenRequest& request,
@@ -122,10 +137,9 @@
   Refuse(step, request, why);
 }
 
-// Answers a request that cannot be routed.
-void AnswerUnrouted(RelayStep& step, const RequestArrived& arrived, int status,
-                    Duration retry_after, std::string_view why) {
-  ++step.state_.counters_.unrouted_;
+// Answers a request that is not accepted at all.
+void AnswerOnArrival(RelayStep& step, const RequestArrived& arrived, int status,
+                     Duration retry_after, std::string_view why) {
   step.effects_.emplace_back(Decision{
       .kind_ = DecisionKind::kRefused,
       .trace_id_ = arrived.trace_id_,
@@ -149,7 +163,9 @@
           .instance_ = peer.status_.instance_,
           .route_ = request.route_,
           .caller_service_ = step.options_.service_,
+          .workspace_ = request.workspace_,
           .content_ = request.content_,
+          .workspace_priority_ = request.workspace_priority_,
           .priority_ = request.priority_,
           .is_call_ = request.is_call_,
           .tree_rank_ = request.tree_rank_,
@@ -230,6 +246,11 @@
     if (request.may_have_run_) return Fail(step, request, 504, "time is up");
     return Refuse(step, request, "time is up");
   }
+  if (IsKeyWithdrawn(step, request)) {
+    ++step.state_.counters_.key_rejected_;
+    return Fail(step, request, request.may_have_run_ ? 502 : kUnauthorized,
+                "key was withdrawn");
+  }
   const ContentVerdict verdict = EvaluateContentOf(step, request);
   if (verdict.standing_ == Standing::kCondemned) {
     return RefuseSuspect(step, request);
@@ -373,8 +394,17 @@
   Finish(step, request, std::move(reply.response_), false);
 }
 
+// Removes the header with the client's key, which backend servers must not see.
+void RemoveCredentials(const RelayStep& step, const RequestArrived& arrived,
+                       HeaderList& headers) {
+  if (step.state_.table_.workspaces_.empty()) return;
+  std::erase_if(headers, [&](const auto& header) {
+    return SameHeaderName(header.first, arrived.credential_header_);
+  });
+}
+
 OpenRequest MakeRequest(RelayStep& step, RequestArrived& arrived,
-                        const RouteRule& route) {
+                        const RouteRule& route, const Workspace* workspace) {
   const Duration remaining = arrived.remaining_.value_or(route.timeout_);
   OpenRequest request;
   request.request_id_ = arrived.request_id_;
@@ -396,6 +426,12 @@
   request.content_ = arrived.content_;
   request.request_ = std::move(arrived.request_);
   RemoveConnectionHeaders(request.request_.headers_);
+  RemoveCredentials(step, arrived, request.request_.headers_);
+  if (workspace != nullptr) {
+    request.workspace_ = workspace->name_;
+    request.workspace_priority_ = workspace->priority_;
+    request.key_ = arrived.key_;
+  }
   request.objective_at_ = step.now_ + route.latency_objective_;
   const bool returning = CountDemand(step, route, remaining, request.is_call_);
   if (request.is_call_) return request;
@@ -453,19 +489,33 @@
 
 void OnRequest(RelayStep& step, RequestArrived& arrived) {
   ++step.state_.counters_.requests_;
-  const RelayState& state = step.state_;
+  RelayState& state = step.state_;
   if (state.table_.version_ == 0) {
-    return AnswerUnrouted(step, arrived, 503, kShortRetryAfter,
-                          "no routing document yet");
+    ++state.counters_.unrouted_;
+    return AnswerOnArrival(step, arrived, 503, kShortRetryAfter,
+                           "no routing document yet");
   }
   const RouteRule* route =
       FindRoute(state.table_, arrived.host_, arrived.request_.target_);
   if (route == nullptr) {
-    return AnswerUnrouted(step, arrived, 404, Duration::zero(), "no route");
+    ++state.counters_.unrouted_;
+    return AnswerOnArrival(step, arrived, 404, Duration::zero(), "no route");
+  }
+  const KeyCheckResult key = CheckKey(state.table_, *route, arrived.key_);
+  if (key.check_ == KeyCheck::kRejected) {
+    ++state.counters_.key_rejected_;
+    return AnswerOnArrival(step, arrived, kUnauthorized, Duration::zero(),
+                           arrived.key_.known() ? "unknown key" : "no key");
+  }
+  if (key.workspace_ != nullptr && !CountWithinQuota(step, *key.workspace_)) {
+    ++state.counters_.over_quota_;
+    return AnswerOnArrival(step, arrived, kTooManyRequests,
+                           RetryAfterOverQuota(step, arrived, *route),
+                           "workspace is over its quota");
   }
   const std::uint64_t id = arrived.request_id_;
   OpenRequest& request = step.state_.requests_[id] =
-      MakeRequest(step, arrived, *route);
+      MakeRequest(step, arrived, *route, key.workspace_);
   ScheduleTimer(step, request.deadline_, RelayTimerKind::kRequestDeadline, id);
   if (request.is_call_) {
     ++step.state_.counters_.calls_;
@@ -476,6 +526,8 @@
     CountCall(step.state_.call_counts_, arrived.parent_trace_id_.empty());
     if (known) ++parent->second.calls_[request.route_];
     request.priority_ = known ? parent->second.order_.priority_ : 0;
+    request.workspace_priority_ =
+        known ? parent->second.order_.workspace_priority_ : 0;
     request.is_repeat_ = known && parent->second.order_.is_repeat_;
     if (known) request.tree_rank_ = parent->second.order_.tree_rank_;
   }
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -122,6 +122,7 @@
                .address_ = step.options_.backend_address_,
                .instance_ = run.order_.instance_,
                .caller_service_ = run.order_.caller_service_,
+               .workspace_ = run.order_.workspace_,
                .remaining_ = run.deadline_ - step.now_,
                .request_ = run.order_.request_});
 }
@@ -183,11 +184,13 @@
   const NotRunReason reason = FindRefusalReason(step, run.order_);
   if (reason != NotRunReason::kNone) return ReplyNotRun(step, run, reason);
   ScheduleTimer(step, run.deadline_, RelayTimerKind::kRunDeadline, run_id);
-  const WaitingRun waiting{.run_id_ = run_id,
-                           .is_call_ = run.order_.is_call_,
-                           .priority_ = run.order_.priority_,
-                           .arrived_ = step.now_,
-                           .start_by_ = LatestStart(step, run.order_)};
+  const WaitingRun waiting{
+      .run_id_ = run_id,
+      .is_call_ = run.order_.is_call_,
+      .workspace_priority_ = run.order_.workspace_priority_,
+      .priority_ = run.order_.priority_,
+      .arrived_ = step.now_,
+      .start_by_ = LatestStart(step, run.order_)};
   if (!Enqueue(step.state_.waiting_, CurrentSlotUse(step.state_), step.now_,
                waiting)) {
     ++step.state_.refused_in_window_;
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -203,6 +203,18 @@
 // Recomputes this node's share of the fleet-wide bound on retries.
 void UpdateRetryAllowance(RelayStep& step);
 
+// Keys and quotas of workspaces.
+
+// Counts a client's request, and whether it may be sent without exceeding the
+// quota of its workspace.
+bool CountWithinQuota(RelayStep& step, const Workspace& workspace);
+// Reports the use of quotas, or adds up the reports of the zone's hosts.
+void TickQuotas(RelayStep& step);
+void OnQuotaReport(RelayStep& step, std::uint64_t connection_id,
+                   QuotaReport& report);
+// Whether the key of a request was valid when it arrived and no longer is.
+bool IsKeyWithdrawn(const RelayStep& step, const OpenRequest& request);
+
 // Store of the routing documents, of the list of nodes and of condemned
 // contents.
 
--- a/src/relay/internal/zone_sums.cc
+++ b/src/relay/internal/zone_sums.cc
@@ -120,24 +120,6 @@
   return HashBytes(zone + '/' + address);
 }
 
-// Whether this node aggregates its zone's statuses for the other zones: it
-// ranks first among the zone's hosts that are counted and not leaving. Nodes
-// that see the same hosts select the same aggregator. If two nodes both act as
-// aggregators, receivers keep the sum that arrived last; sums are never merged.
-bool IsAggregator(const RelayStep& step) {
-  const std::string& zone = step.options_.zone_;
-  const std::uint64_t own_rank = ComputeRank(zone, step.options_.address_);
-  return std::none_of(step.state_.peers_.begin(), step.state_.peers_.end(),
-                      [&](const auto& entry) {
-                        const Peer& peer = entry.second;
-                        return !IsSelf(step, peer) &&
-                               peer.status_.zone_ == zone &&
-                               IsCounted(step, peer) &&
-                               !peer.status_.leaving_ &&
-                               ComputeRank(zone, peer.address_) < own_rank;
-                      });
-}
-
 ZoneSum BuildZoneSum(RelayStep& step, const RegionView& view) {
   ZoneSum sum{.zone_ = step.options_.zone_,
               .region_ = step.options_.region_,
@@ -234,7 +216,28 @@
   return options.unsaturated_region_status_interval_ * kMaxMissedStatuses;
 }
 
-bool RanksFirstInZone(const RelayStep& step) { return IsAggregator(step); }
+// The zone's aggregator sums up statuses for the other zones: it ranks first
+// among the zone's hosts that are counted and not leaving. Nodes that see the
+// same hosts select the same aggregator. If two nodes both act as aggregators,
+// receivers keep the sum that arrived last; sums are never merged.
+const Peer* FindAggregator(const RelayStep& step) {
+  const std::string& zone = step.options_.zone_;
+  std::uint64_t first_rank = ComputeRank(zone, step.options_.address_);
+  const Peer* first = nullptr;
+  for (const auto& [address, peer] : step.state_.peers_) {
+    if (IsSelf(step, peer) || peer.status_.zone_ != zone) continue;
+    if (!IsCounted(step, peer) || peer.status_.leaving_) continue;
+    const std::uint64_t rank = ComputeRank(zone, address);
+    if (rank >= first_rank) continue;
+    first_rank = rank;
+    first = &peer;
+  }
+  return first;
+}
+
+bool RanksFirstInZone(const RelayStep& step) {
+  return FindAggregator(step) == nullptr;
+}
 
 bool IsFromLocalZone(const RelayStep& step, std::uint64_t connection_id) {
   const auto link = step.state_.inbound_links_.find(connection_id);
@@ -288,6 +291,7 @@
     }
   }
   std::vector<RemoteRegion> list;
+  list.reserve(regions.size());
   for (auto& [name, region] : regions) list.push_back(std::move(region));
   return list;
 }
@@ -299,7 +303,7 @@
   std::erase_if(step.state_.remote_zone_sums_, [&](const auto& entry) {
     return step.now_ - entry.second.received_at_ > kRemoteSumTtl;
   });
-  if (step.state_.stopping_ || !IsAggregator(step)) return;
+  if (step.state_.stopping_ || !RanksFirstInZone(step)) return;
   const ZoneSum sum = BuildZoneSum(step, BuildLocalZoneView(step));
   SendToOtherZones(step, sum);
   SendToOtherRegions(step, sum);
--- a/src/relay/internal/zone_sums.h
+++ b/src/relay/internal/zone_sums.h
@@ -37,6 +37,9 @@
 // those that are not newer than the aggregator's last one.
 void OnZoneSum(RelayStep& step, std::uint64_t connection_id, ZoneSum& sum);
 
+// The host that ranks first in the local zone; null if this node does.
+const Peer* FindAggregator(const RelayStep& step);
+
 // Whether this node ranks first in its zone, and so sends zone sums and
 // suspicion resyncs to other zones. Ranks are hashes of zone and address.
 bool RanksFirstInZone(const RelayStep& step);
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -12,6 +12,7 @@
 #include "base/time_types.h"
 #include "callgraph/callgraph.h"
 #include "http1/http1_types.h"
+#include "quota/quota.h"
 
 namespace jujubefront {
 
@@ -83,7 +84,9 @@
   std::string instance_;  // the only backend server that may run it
   std::string route_;
   std::string caller_service_;
+  std::string workspace_;  // of the client's key; empty: none
   Fingerprint content_;
+  std::uint32_t workspace_priority_ = 0;  // goes before priority_
   std::uint32_t priority_ = 0;
   bool is_call_ = false;  // made by a backend server
   // In [0, 1), the same for all calls made for one client request. Decides
@@ -177,6 +180,21 @@
   std::vector<ContentClearance> clearances_;
 };
 
+// Whose use of quotas a report contains.
+enum class QuotaScope : std::uint8_t {
+  kHost,   // sent to the host that aggregates the zone
+  kZone,   // sent to the aggregators of other zones
+  kFleet,  // sent by the aggregator to the hosts of its zone
+};
+
+// Use of the quotas of workspaces.
+struct QuotaReport {
+  QuotaScope scope_ = QuotaScope::kHost;
+  std::string zone_;
+  std::uint64_t sequence_ = 0;
+  std::map<std::uint64_t, QuotaUse> uses_;  // by hash of the workspace's name
+};
+
 // Requests the routing document if it is newer than this version.
 struct TableQuery {
   std::uint64_t newer_than_ = 0;
@@ -198,7 +216,7 @@
 using LinkMessage =
     std::variant<HostStatus, RunOrder, RunReply, RunCancel, PeerPing, PeerPong,
                  TableQuery, TableText, PeersQuery, PeerAddresses, ZoneSum,
-                 BackendLeft, SuspicionNotice>;
+                 BackendLeft, SuspicionNotice, QuotaReport>;
 
 }  // namespace jujubefront
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -26,6 +26,7 @@
   TickStore(step);
   TickDemand(step);
   TickSuspects(step);
+  TickQuotas(step);
   TickStop(step);
   ScheduleTimer(step, step.now_ + kTickInterval, RelayTimerKind::kTick);
 }
@@ -99,6 +100,8 @@
     OnBackendLeft(step, *left);
   } else if (auto* notice = std::get_if<SuspicionNotice>(&received.message_)) {
     OnSuspicionNotice(step, connection, received.peer_, *notice);
+  } else if (auto* report = std::get_if<QuotaReport>(&received.message_)) {
+    OnQuotaReport(step, connection, *report);
   } else if (auto* known = std::get_if<PeerAddresses>(&received.message_)) {
     for (const auto& address : known->addresses_) EnsurePeer(step, address);
   }
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -51,6 +51,7 @@
   std::string address_;
   std::string instance_;
   std::string caller_service_;
+  std::string workspace_;
   Duration remaining_ = Duration::zero();
   Http1Request request_;
 };
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -26,6 +26,8 @@
   // backend server receives, without the caller. If it is not known, the
   // request is not matched with others.
   Fingerprint content_;
+  Fingerprint key_;  // hash of the client's key; unknown: it sent none
+  std::string credential_header_;  // name of the header with the key
   Http1Request request_;
 };
 
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -17,6 +17,7 @@
 #include "base/hashing.h"
 #include "callgraph/callgraph.h"
 #include "placement/placement.h"
+#include "quota/quota.h"
 #include "relay/relay_effect_types.h"
 #include "relay/relay_event_types.h"
 #include "retries/retry_allowance.h"
@@ -37,6 +38,7 @@
   std::uint64_t boot_ = 0;          // distinguishes processes at one address
   std::uint64_t seed_ = 0;          // of the random number generator
   PlacementOptions placement_;
+  QuotaOptions quota_;
   AllocationOptions allocation_;
   // Sends requests that are not admitted to another region with free slots.
   bool overflows_to_other_regions_ = true;
@@ -124,8 +126,11 @@
   std::string trace_id_;
   std::string route_;
   std::string service_;
+  std::string workspace_;  // of the client's key; empty: it needed none
+  Fingerprint key_;
   bool idempotent_ = false;
   bool is_call_ = false;
+  std::uint32_t workspace_priority_ = 0;
   std::uint32_t priority_ = 0;
   std::uint32_t max_attempts_ = 1;
   Timestamp arrived_;
@@ -241,6 +246,28 @@
   Timestamp received_at_;
 };
 
+// Latest report of the use of quotas by another host or zone.
+struct KnownQuotaReport {
+  QuotaReport report_;
+  Timestamp received_at_;
+  // Part of the fleet's demand when the report was new, by workspace.
+  std::map<std::uint64_t, double> demand_shares_;
+};
+
+// Use of the workspaces' quotas.
+struct QuotaState {
+  // Of this node, by hash of the workspace's name.
+  std::unordered_map<std::uint64_t, QuotaMeter> meters_;
+  Timestamp advanced_at_;  // when the current slot of the meters began
+  // Of the zone's hosts, by address and process.
+  std::map<std::pair<std::string, std::uint64_t>, KnownQuotaReport> hosts_;
+  std::map<std::string, KnownQuotaReport> zones_;  // other zones
+  std::map<std::uint64_t, QuotaUse> fleet_;        // sums over all nodes
+  Timestamp fleet_at_;                             // when they were received
+  std::uint64_t sequence_ = 0;
+  bool reported_none_ = false;  // the last report was empty
+};
+
 // Smoothed share of the runs that this node sent to a peer and that failed
 // there.
 struct FailureRate {
@@ -359,6 +386,9 @@
   std::uint64_t timed_out_ = 0;
   std::uint64_t cancelled_ = 0;
   std::uint64_t unrouted_ = 0;
+  std::uint64_t key_rejected_ = 0;
+  std::uint64_t over_quota_ = 0;
+  std::uint64_t quota_reports_sent_ = 0;
   std::uint64_t sends_ = 0;
   std::uint64_t resends_ = 0;
   std::uint64_t resends_denied_ = 0;
@@ -415,6 +445,7 @@
   std::map<std::string, Peer> peers_;
   // Peers and the local host, by the service of their backend server.
   std::map<std::string, std::map<std::string, Peer*>> hosts_of_service_;
+  QuotaState quota_;
   std::map<std::string, KnownZoneSum> zone_sums_;  // of the region's zones
   // Of the zones of other regions, with the loads of services only.
   std::map<std::string, KnownZoneSum> remote_zone_sums_;
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -20,6 +20,7 @@
     zoneSum @10 :ZoneSum;
     backendLeft @11 :BackendLeft;
     suspicion @12 :Suspicion;
+    quotaUse @13 :QuotaUse;
   }
 }
 
@@ -145,6 +146,8 @@
   isRepeat @16 :Bool;
   contentHigh @17 :UInt64;
   contentLow @18 :UInt64;
+  workspace @19 :Text;
+  workspacePriority @20 :UInt32;
 }
 
 struct Reply {
@@ -164,3 +167,18 @@
   version @0 :UInt64;
   text @1 :Data;
 }
+
+# Use of the quotas of workspaces.
+struct QuotaUse {
+  scope @0 :UInt8;
+  zone @1 :Text;
+  sequence @2 :UInt64;
+  entries @3 :List(Entry);
+
+  struct Entry {
+    workspace @0 :UInt64;  # hash of its name
+    perSecond @1 :Float32;  # demand
+    used @2 :Float32;  # requests within the quota's window
+    lastPerSecond @3 :Float32;  # demand in the last slot of it
+  }
+}
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -285,6 +285,36 @@
   return sum;
 }
 
+void Write(linkwire::Message::Builder message, const QuotaReport& report) {
+  auto builder = message.initQuotaUse();
+  builder.setScope(static_cast<std::uint8_t>(report.scope_));
+  builder.setZone(ToText(report.zone_));
+  builder.setSequence(report.sequence_);
+  auto entries =
+      builder.initEntries(static_cast<unsigned>(report.uses_.size()));
+  unsigned at = 0;
+  for (const auto& [workspace, use] : report.uses_) {
+    entries[at].setWorkspace(workspace);
+    entries[at].setPerSecond(static_cast<float>(use.per_second_));
+    entries[at].setLastPerSecond(static_cast<float>(use.last_per_second_));
+    entries[at++].setUsed(static_cast<float>(use.used_));
+  }
+}
+
+QuotaReport Read(linkwire::QuotaUse::Reader reader) {
+  QuotaReport report{.scope_ = ToEnum(reader.getScope(), QuotaScope::kFleet,
+                                      QuotaScope::kHost),
+                     .zone_ = ToString(reader.getZone()),
+                     .sequence_ = reader.getSequence()};
+  for (const auto entry : reader.getEntries()) {
+    report.uses_[entry.getWorkspace()] = {
+        .per_second_ = entry.getPerSecond(),
+        .last_per_second_ = entry.getLastPerSecond(),
+        .used_ = entry.getUsed()};
+  }
+  return report;
+}
+
 void Write(linkwire::Message::Builder message, const RunOrder& order) {
   auto builder = message.initOrder();
   builder.setSendId(order.send_id_);
@@ -294,6 +324,8 @@
   builder.setCallerService(ToText(order.caller_service_));
   builder.setContentHigh(order.content_.high_);
   builder.setContentLow(order.content_.low_);
+  if (!order.workspace_.empty()) builder.setWorkspace(ToText(order.workspace_));
+  builder.setWorkspacePriority(order.workspace_priority_);
   builder.setPriority(order.priority_);
   builder.setIsCall(order.is_call_);
   builder.setIdempotent(order.idempotent_);
@@ -317,6 +349,8 @@
   order.route_ = ToString(reader.getRoute());
   order.caller_service_ = ToString(reader.getCallerService());
   order.content_ = ReadContent(reader);
+  order.workspace_ = ToString(reader.getWorkspace());
+  order.workspace_priority_ = reader.getWorkspacePriority();
   order.priority_ = reader.getPriority();
   order.is_call_ = reader.getIsCall();
   order.idempotent_ = reader.getIdempotent();
@@ -388,6 +422,7 @@
   void operator()(const ZoneSum& value) { Write(message_, value); }
   void operator()(const BackendLeft& value) { Write(message_, value); }
   void operator()(const SuspicionNotice& value) { Write(message_, value); }
+  void operator()(const QuotaReport& value) { Write(message_, value); }
   void operator()(const PeerAddresses& value) {
     auto list =
         message_.initPeers(static_cast<unsigned>(value.addresses_.size()));
@@ -431,6 +466,8 @@
       return Read(message.getBackendLeft());
     case linkwire::Message::SUSPICION:
       return Read(message.getSuspicion());
+    case linkwire::Message::QUOTA_USE:
+      return Read(message.getQuotaUse());
   }
   return std::nullopt;
 }
--- a/src/relaymodel/tests/relaymodel_tests.cc
+++ b/src/relaymodel/tests/relaymodel_tests.cc
@@ -158,7 +158,9 @@
           figures, together.worth_share_ >= apart.worth_share_ - kMaxWorthLoss);
       if (!row.fits_together_) continue;
       for (const auto& [route, counts] : together.routes_) {
-        CPPUNIT_ASSERT_MESSAGE(figures + ", " + route,
+        std::string message = figures;
+        message.append(", ").append(route);
+        CPPUNIT_ASSERT_MESSAGE(message,
                                ServedShare(together, route.c_str()) >= 0.95);
       }
     }
--- a/src/routes/routes.cc
+++ b/src/routes/routes.cc
@@ -55,4 +55,17 @@
   return route.services_.back().service_;
 }
 
+KeyCheckResult CheckKey(const RouteTable& table, const RouteRule& route,
+                        const Fingerprint& key) {
+  if (table.workspaces_.empty()) return {};
+  const auto found = key.known() ? table.workspace_of_key_.find(key)
+                                 : table.workspace_of_key_.end();
+  if (found != table.workspace_of_key_.end()) {
+    return {.check_ = KeyCheck::kAccepted,
+            .workspace_ = &table.workspaces_[found->second]};
+  }
+  return {.check_ =
+              route.needs_key_ ? KeyCheck::kRejected : KeyCheck::kNotNeeded};
+}
+
 }  // namespace jujubefront
--- a/src/routes/routes_types.h
+++ b/src/routes/routes_types.h
@@ -3,9 +3,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "base/fingerprint.h"
 #include "base/time_types.h"
 
 namespace jujubefront {
@@ -27,6 +30,16 @@
   std::uint32_t priority_ = 0;      // 0 is the most important
   std::uint32_t max_attempts_ = 1;  // backend servers tried per request
   std::vector<WeightedService> services_;
+  bool needs_key_ = true;  // of a workspace, if the document has workspaces
+};
+
+// A customer whose clients identify themselves with keys.
+struct Workspace {
+  std::string name_;
+  std::uint32_t priority_ = 0;  // 0 is the most important; before a route's
+  // Quota of client requests over all nodes; 0: no limit.
+  double requests_per_second_ = 0.0;
+  double burst_requests_ = 0.0;  // in addition, at once
 };
 
 // Settings of one service in the routing document.
@@ -48,6 +61,12 @@
   std::vector<RouteRule> routes_;
   std::map<std::string, ServiceRule> services_;
   ClientLimits limits_;
+  std::vector<Workspace> workspaces_;
+  // Indexes into `workspaces_` by the hash of a key. The keys themselves are
+  // not stored, and a lookup takes the same time however many characters of a
+  // wrong key are right.
+  std::unordered_map<Fingerprint, std::size_t, FingerprintHash>
+      workspace_of_key_;
   // Indexes into `routes_` by normalised host, longest prefix first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
 };
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -62,6 +62,9 @@
   Counter(text, "timed_out", counters.timed_out_);
   Counter(text, "cancelled", counters.cancelled_);
   Counter(text, "unrouted", counters.unrouted_);
+  Counter(text, "key_rejected", counters.key_rejected_);
+  Counter(text, "over_quota", counters.over_quota_);
+  Counter(text, "quota_reports_sent", counters.quota_reports_sent_);
   Counter(text, "sends", counters.sends_);
   Counter(text, "resends", counters.resends_);
   Counter(text, "resends_denied", counters.resends_denied_);
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -62,6 +62,7 @@
     shell_.protocol_.prepare_run_(effect.request_,
                                   {.instance_ = effect.instance_,
                                    .caller_service_ = effect.caller_service_,
+                                   .workspace_ = effect.workspace_,
                                    .remaining_ = effect.remaining_});
     shell_.backend_.SetAddress(effect.address_);
     shell_.backend_.Send(effect.run_id_, effect.request_);
@@ -237,6 +238,8 @@
                       .host_ = host == nullptr ? "" : *host,
                       .remaining_ = metadata.remaining_,
                       .content_ = metadata.content_,
+                      .key_ = metadata.key_,
+                      .credential_header_ = protocol_.credential_header_,
                       .request_ = std::move(request)});
 }
 
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -24,6 +24,7 @@
   // Id of the run that makes this call; empty if the trace id names none.
   std::string parent_trace_id_;
   std::optional<Duration> remaining_;  // until the client's deadline
+  Fingerprint key_;  // hash of the client's key; unknown: it sent none
   // Covers everything but the caller, so that it is the same in every attempt.
   Fingerprint content_;
 };
@@ -32,6 +33,7 @@
 struct RunMetadata {
   std::string instance_;  // the instance that is expected to run it
   std::string caller_service_;
+  std::string workspace_;                  // of the client's key; empty: none
   Duration remaining_ = Duration::zero();  // until the run's deadline
 };
 
@@ -45,6 +47,9 @@
 struct PlatformProtocol {
   // Backend servers copy this header of a request into its response.
   std::string correlation_header_;
+  // Contains the client's key. Where the routing document has workspaces, it is
+  // not passed on.
+  std::string credential_header_;
   std::function<RequestMetadata(const Http1Request&)> read_request_;
   // Sets the headers of a request for the backend server that runs it.
   std::function<void(Http1Request&, const RunMetadata&)> prepare_run_;
--- a/src/waiting/tests/waiting_tests.cc
+++ b/src/waiting/tests/waiting_tests.cc
@@ -19,6 +19,7 @@
 class WaitingTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WaitingTests);
   CPPUNIT_TEST(StartsByPriorityThenCallsThenArrival);
+  CPPUNIT_TEST(PriorityOfTheWorkspaceGoesFirst);
   CPPUNIT_TEST(TakesOnlyWhatStartsInTime);
   CPPUNIT_TEST(ExpiresWhatHasWaitedTooLong);
   CPPUNIT_TEST_SUITE_END();
@@ -40,6 +41,16 @@
     CPPUNIT_ASSERT(!TakeNext(queue));
   }
 
+  void PriorityOfTheWorkspaceGoesFirst() {
+    WaitingQueue queue;
+    WaitingRun less_important = Run(1, true, 0);
+    less_important.workspace_priority_ = 1;
+    CPPUNIT_ASSERT(Enqueue(queue, {.slots_ = 8}, kNow, less_important));
+    CPPUNIT_ASSERT(Enqueue(queue, {.slots_ = 8}, kNow, Run(2, false, 2)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, TakeNext(queue)->run_id_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, TakeNext(queue)->run_id_);
+  }
+
   // Guards against queueing runs that cannot start in time: a burst arrives at
   // a backend server whose slots are all in use.
   void TakesOnlyWhatStartsInTime() {
--- a/src/waiting/waiting.h
+++ b/src/waiting/waiting.h
@@ -15,15 +15,17 @@
 // A run that waits for a slot of the local backend server.
 struct WaitingRun {
   std::uint64_t run_id_ = 0;
-  bool is_call_ = false;        // made by a backend server, not by a client
-  std::uint32_t priority_ = 0;  // 0 is the most important
+  bool is_call_ = false;  // made by a backend server, not by a client
+  std::uint32_t workspace_priority_ = 0;  // 0 is the most important
+  std::uint32_t priority_ = 0;            // of the route, within a workspace's
   Timestamp arrived_;
   Timestamp start_by_;  // latest useful start
 
-  // Sort key: priority of the client request, then calls before client
+  // Sort key: priorities of the client request, then calls before client
   // requests (work has already been spent on their callers), then arrival.
   auto Rank() const {
-    return std::make_tuple(priority_, !is_call_, arrived_, run_id_);
+    return std::make_tuple(workspace_priority_, priority_, !is_call_, arrived_,
+                           run_id_);
   }
   bool operator<(const WaitingRun& other) const {
     return Rank() < other.Rank();
