Workspaces: a withdrawn key does not matter on routes that need none

A request with a key on a route that needs none was answered 401 when the key was withdrawn before it was sent again, though a request without any key is served there. The key is kept with a request only where the route needs it. The new row "withdrawn, open route" fails without the change.

--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -430,8 +430,8 @@
   if (workspace != nullptr) {
     request.workspace_ = workspace->name_;
     request.workspace_priority_ = workspace->priority_;
-    request.key_ = arrived.key_;
   }
+  if (route.needs_key_) request.key_ = arrived.key_;
   request.objective_at_ = step.now_ + route.latency_objective_;
   const bool returning = CountDemand(step, route, remaining, request.is_call_);
   if (request.is_call_) return request;
--- a/src/relay/internal/workspaces.cc
+++ b/src/relay/internal/workspaces.cc
@@ -241,7 +241,7 @@
 
 bool IsKeyWithdrawn(const RelayStep& step, const OpenRequest& request) {
   const RouteTable& table = step.state_.table_;
-  return !request.workspace_.empty() && !table.workspaces_.empty() &&
+  return request.key_.known() && !table.workspaces_.empty() &&
          !table.workspace_of_key_.contains(request.key_);
 }
 
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -126,8 +126,8 @@
   std::string trace_id_;
   std::string route_;
   std::string service_;
-  std::string workspace_;  // of the client's key; empty: it needed none
-  Fingerprint key_;
+  std::string workspace_;  // of the client's key; empty: it sent none
+  Fingerprint key_;        // unknown: the route needs none
   bool idempotent_ = false;
   bool is_call_ = false;
   std::uint32_t workspace_priority_ = 0;
--- a/src/relay/tests/workspace_tests.cc
+++ b/src/relay/tests/workspace_tests.cc
@@ -119,19 +119,21 @@
   void WithdrawnKeysAreRefusedBeforeEachSend() {
     struct Row {
       const char* name_;
+      const char* target_;
       bool withdrawn_;
       RunOutcome outcome_;
       int status_;  // 0: sent again
     };
     const Row rows[] = {
-        {"kept, not run", false, RunOutcome::kNotRun, 0},
-        {"withdrawn, not run", true, RunOutcome::kNotRun, 401},
-        {"withdrawn, answer lost", true, RunOutcome::kBroken, 502},
+        {"kept, not run", "/read/1", false, RunOutcome::kNotRun, 0},
+        {"withdrawn, not run", "/read/1", true, RunOutcome::kNotRun, 401},
+        {"withdrawn, answer lost", "/read/1", true, RunOutcome::kBroken, 502},
+        {"withdrawn, open route", "/open/1", true, RunOutcome::kNotRun, 0},
     };
     for (const Row& row : rows) {
       NodeWithWorkspaces node(TableWithWorkspaces(1));
       node.harness_.AddPeer("10.0.0.3:7000", 2);
-      node.Send(1, "/read/1", kKey);
+      node.Send(1, row.target_, kKey);
       const auto orders = node.harness_.TakeRunOrders();
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
       RouteTable table = TableWithWorkspaces(2);
