Regions: nothing is planned while no region reports free slots

The plan of what overflows went over all routes of the document twice a second at every node, also with no other region to send to. Found by reading; no test, as the result is the same.

--- a/src/relay/internal/demand.cc
+++ b/src/relay/internal/demand.cc
@@ -142,6 +142,11 @@
   RelayState& state = step.state_;
   if (!step.options_.overflows_to_other_regions_) return;
   const std::vector<RemoteRegion> regions = BuildRemoteRegions(step);
+  // No region has reported free slots, as in general no report was needed.
+  if (regions.empty()) {
+    state.overflow_.clear();
+    return;
+  }
   state.overflow_ =
       PlanOverflow(view.profiles_, demands, state.admitted_, regions,
                    state.overflow_, step.options_.overflow_);
