Quotas: a node's part of the limit follows demand as it is elsewhere

A node's own limit was its usual demand, smoothed over seconds, against the fleet's demand of the last moments: in the first seconds of a process, and whenever the demand of all nodes rose, its part came out too small, and requests within the quota were refused.

Reports contain the usual demand as well, parts are taken of its sum, and a meter begins with the plain mean. Rows "all that the limit allows" and "a rise to" it: 0.998 and 1.000 of the requests within the limit are sent.

--- a/src/quota/quota.cc
+++ b/src/quota/quota.cc
@@ -37,9 +37,8 @@
   constexpr double kDeviations = 3.0;
   const double slot = InSeconds(QuotaSlotLength(options));
   const double chance = kDeviations * std::sqrt(use.per_second_ / slot);
-  return use.last_per_second_ > use.per_second_ + chance
-             ? use.last_per_second_
-             : use.per_second_;
+  return use.last_per_second_ > use.per_second_ + chance ? use.last_per_second_
+                                                         : use.per_second_;
 }
 
 // A node's own limit, for the time until the sums show what other nodes send.
@@ -67,21 +66,24 @@
   const double rate = meter.arrived_ / InSeconds(QuotaSlotLength(options));
   meter.last_per_second_ = rate;
   meter.per_second_ += kArrivalWeight * (rate - meter.per_second_);
-  meter.usual_per_second_ += kUsualWeight * (rate - meter.usual_per_second_);
+  ++meter.slots_;
+  meter.usual_per_second_ += std::max(kUsualWeight, 1.0 / meter.slots_) *
+                             (rate - meter.usual_per_second_);
   meter.arrived_ = 0;
   meter.slot_ = (meter.slot_ + 1) % kQuotaSlots;
   meter.used_[meter.slot_] = 0;
 }
 
 void UpdateNodeShare(QuotaMeter& meter, const QuotaUse& fleet) {
-  if (fleet.per_second_ <= 0.0) return;
+  if (fleet.usual_per_second_ <= 0.0) return;
   meter.node_share_ =
-      std::min(1.0, meter.usual_per_second_ / fleet.per_second_);
+      std::min(1.0, meter.usual_per_second_ / fleet.usual_per_second_);
 }
 
 QuotaUse UseOf(const QuotaMeter& meter) {
   return {.per_second_ = meter.per_second_,
           .last_per_second_ = meter.last_per_second_,
+          .usual_per_second_ = meter.usual_per_second_,
           .used_ = UsedInSlots(meter, kQuotaSlots)};
 }
 
@@ -94,8 +96,7 @@
                           const QuotaUse& fleet) {
   if (rule.per_second_ <= 0.0) return 1.0;
   const double left = UsableInWindow(rule, options) - fleet.used_;
-  const double demand =
-      DemandOf(fleet, options) * InSeconds(options.reaction_);
+  const double demand = DemandOf(fleet, options) * InSeconds(options.reaction_);
   if (demand <= 0.0) return 1.0;
   return std::clamp(left / demand, 0.0, 1.0);
 }
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -39,9 +39,10 @@
 
 // Use of a quota by one node, a zone or the fleet.
 struct QuotaUse {
-  double per_second_ = 0.0;       // requests that arrive, smoothed
-  double last_per_second_ = 0.0;  // the same in the last slot
-  double used_ = 0.0;        // requests sent in the last window
+  double per_second_ = 0.0;        // requests that arrive, smoothed
+  double last_per_second_ = 0.0;   // the same in the last slot
+  double usual_per_second_ = 0.0;  // the same over some seconds
+  double used_ = 0.0;              // requests sent in the last window
 };
 
 // Slots into which the window is divided for counting.
@@ -52,10 +53,12 @@
   std::array<std::uint32_t, kQuotaSlots> used_{};  // requests sent, by slot
   std::size_t slot_ = 0;                           // current
   std::uint32_t arrived_ = 0;                      // in the current slot
-  double last_per_second_ = 0.0;  // arrivals in the last slot
+  double last_per_second_ = 0.0;                   // arrivals in the last slot
   double per_second_ = 0.0;                        // arrivals, smoothed
-  // The same over some seconds, which a sudden rise changes little.
+  // The same over some seconds, which a sudden rise changes little: the mean
+  // of all slots until there are enough of them.
   double usual_per_second_ = 0.0;
+  std::uint32_t slots_ = 0;  // counted so far
   // This node's part of the fleet's usual demand when the last sums arrived;
   // 0: not known.
   double node_share_ = 0.0;
--- a/src/quota/tests/quota_tests.cc
+++ b/src/quota/tests/quota_tests.cc
@@ -155,6 +155,7 @@
       QuotaUse& total = IsCut(i, second) ? cut : sum;
       total.per_second_ += last.per_second_;
       total.last_per_second_ += last.last_per_second_;
+      total.usual_per_second_ += last.usual_per_second_;
       total.used_ += last.used_;
       // Reports of a process that has restarted count for a window.
       if (second - 9.0 <= 5.0) total.used_ += nodes_[i].used_before_;
@@ -164,15 +165,17 @@
     if (cut.per_second_ > 0.0) {
       const double limit = LimitAt(second);
       // The part at the beginning of the cut: demand may rise on one side.
-      const double share = cut.per_second_ / before_cut_.per_second_;
+      const double share =
+          cut.usual_per_second_ / before_cut_.usual_per_second_;
       // The others notice the cut when the reports are a second old.
       const QuotaUse assumed =
-          second < load_.cut_at_ + 1.0 ? cut
-                        : AssumeCutOff(cut,
-                                       {.per_second_ = limit, .burst_ = limit},
-                                       options_, share);
+          second < load_.cut_at_ + 1.0
+              ? cut
+              : AssumeCutOff(cut, {.per_second_ = limit, .burst_ = limit},
+                             options_, share);
       sum.per_second_ += cut.per_second_;
       sum.last_per_second_ += cut.last_per_second_;
+      sum.usual_per_second_ += cut.usual_per_second_;
       sum.used_ += assumed.used_;
     }
     fleet_.push_back(sum);
@@ -238,6 +241,10 @@
         {"usual demand, large", {}, 0.95},
         {"usual demand, small", {.limit_ = 5.0}, 0.95},
         {"usual demand, medium", {.limit_ = 40.0}, 0.95},
+        {"all that the limit allows", {.usual_ = 0.9}, 0.95},
+        {"a rise to all that the limit allows",
+         {.usual_ = 0.5, .rise_ = 1.8},
+         0.95},
         {"rises 3 times", {.rise_ = 3.0}, 0.75},
         {"rises 7.5 times", {.rise_ = 7.5}, 0.75},
         {"rises 7.5 times, medium", {.limit_ = 40.0, .rise_ = 7.5}, 0.75},
@@ -294,7 +301,9 @@
           1e-9);
     }
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
-        1.0, AdmittedQuotaShare({}, options, {.per_second_ = 1e6, .used_ = 1e6}), 1e-9);
+        1.0,
+        AdmittedQuotaShare({}, options, {.per_second_ = 1e6, .used_ = 1e6}),
+        1e-9);
   }
 };
 
--- a/src/relay/internal/workspaces.cc
+++ b/src/relay/internal/workspaces.cc
@@ -31,6 +31,7 @@
          const QuotaUse& use) {
   total[workspace].per_second_ += use.per_second_;
   total[workspace].last_per_second_ += use.last_per_second_;
+  total[workspace].usual_per_second_ += use.usual_per_second_;
   total[workspace].used_ += use.used_;
 }
 
@@ -89,9 +90,9 @@
   for (auto& [zone, known] : step.state_.quota_.zones_) {
     if (IsOutOfDate(step, known)) continue;
     for (const auto& [workspace, use] : known.report_.uses_) {
-      const double total = fleet.uses_.at(workspace).per_second_;
+      const double total = fleet.uses_.at(workspace).usual_per_second_;
       if (total > 0.0) {
-        known.demand_shares_[workspace] = use.per_second_ / total;
+        known.demand_shares_[workspace] = use.usual_per_second_ / total;
       }
     }
   }
@@ -141,8 +142,8 @@
   if (quota.advanced_at_ == Timestamp{}) quota.advanced_at_ = step.now_;
   if (step.now_ - quota.advanced_at_ < slot) return false;
   // After a pause of the process only the slots of one window matter.
-  const auto slots = std::min<std::int64_t>((step.now_ - quota.advanced_at_) / slot,
-                                            kQuotaSlots);
+  const auto slots = std::min<std::int64_t>(
+      (step.now_ - quota.advanced_at_) / slot, kQuotaSlots);
   quota.advanced_at_ = step.now_;
   for (auto& [workspace, meter] : quota.meters_) {
     for (std::int64_t i = 0; i < slots; ++i) {
--- a/src/relay/tests/workspace_tests.cc
+++ b/src/relay/tests/workspace_tests.cc
@@ -40,17 +40,17 @@
   }
 
   void Send(std::uint64_t id, const char* target, const Fingerprint& key) {
-    harness_.Feed(RequestArrived{
-        .request_id_ = id,
-        .trace_id_ = "t" + std::to_string(id),
-        .host_ = "h",
-        .remaining_ = milliseconds(900),
-        .key_ = key,
-        .credential_header_ = "Authorization",
-        .request_ = {.method_ = "GET",
-                     .target_ = target,
-                     .headers_ = {{"authorization", "Bearer k"},
-                                  {"Accept", "text/plain"}}}});
+    harness_.Feed(
+        RequestArrived{.request_id_ = id,
+                       .trace_id_ = "t" + std::to_string(id),
+                       .host_ = "h",
+                       .remaining_ = milliseconds(900),
+                       .key_ = key,
+                       .credential_header_ = "Authorization",
+                       .request_ = {.method_ = "GET",
+                                    .target_ = target,
+                                    .headers_ = {{"authorization", "Bearer k"},
+                                                 {"Accept", "text/plain"}}}});
   }
 
   RelayHarness harness_;
@@ -103,9 +103,8 @@
       const RunOrder& order = orders.front().second;
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::string(row.workspace_),
                                    order.workspace_);
-      CPPUNIT_ASSERT_EQUAL(
-          std::uint32_t{order.workspace_ == "gates" ? 2U : 0U},
-          order.workspace_priority_);
+      CPPUNIT_ASSERT_EQUAL(std::uint32_t{order.workspace_ == "gates" ? 2U : 0U},
+                           order.workspace_priority_);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(
           row.name_, row.keeps_header_,
           FindHeader(order.request_.headers_, "Authorization") != nullptr);
@@ -179,8 +178,8 @@
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.limited_, refused > 0);
       CPPUNIT_ASSERT_MESSAGE(row.name_, 60 - refused <= row.max_sent_);
-      CPPUNIT_ASSERT_EQUAL(refused, std::size_t{node.harness_.state()
-                                                    .counters_.over_quota_});
+      CPPUNIT_ASSERT_EQUAL(
+          refused, std::size_t{node.harness_.state().counters_.over_quota_});
     }
   }
 
@@ -202,9 +201,10 @@
     const auto report = [&](QuotaScope scope, const char* zone, double used) {
       harness.Feed(LinkReceived{
           .connection_id_ = kConnection,
-          .message_ = QuotaReport{.scope_ = scope,
-                                  .zone_ = zone,
-                                  .uses_ = {{gates, {10.0, 10.0, used}}}}});
+          .message_ =
+              QuotaReport{.scope_ = scope,
+                          .zone_ = zone,
+                          .uses_ = {{gates, {10.0, 10.0, 10.0, used}}}}});
       harness.RunFor(milliseconds(400));
       return harness.state().quota_.fleet_.at(gates).used_;
     };
@@ -218,7 +218,7 @@
         .connection_id_ = 3,
         .message_ = QuotaReport{.scope_ = QuotaScope::kHost,
                                 .zone_ = "z1",
-                                .uses_ = {{gates, {10.0, 10.0, 5.0}}}}});
+                                .uses_ = {{gates, {10.0, 10.0, 10.0, 5.0}}}}});
     harness.RunFor(milliseconds(400));
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
         95.0, harness.state().quota_.fleet_.at(gates).used_, 1e-9);
@@ -239,13 +239,13 @@
     RelayHarness harness(options);
     harness.Feed(TableRead{.table_ = TableWithWorkspaces(1, 100.0)});
     harness.AddPeer(kPeer, kConnection);
-    harness.Feed(RequestArrived{
-        .request_id_ = 1,
-        .trace_id_ = "t1",
-        .host_ = "h",
-        .remaining_ = milliseconds(900),
-        .key_ = kKey,
-        .request_ = {.method_ = "GET", .target_ = "/read/1"}});
+    harness.Feed(
+        RequestArrived{.request_id_ = 1,
+                       .trace_id_ = "t1",
+                       .host_ = "h",
+                       .remaining_ = milliseconds(900),
+                       .key_ = kKey,
+                       .request_ = {.method_ = "GET", .target_ = "/read/1"}});
     harness.Take<SendToPeer>();
     harness.RunFor(milliseconds(400));
     std::size_t reports = 0;
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -180,5 +180,6 @@
     perSecond @1 :Float32;  # demand
     used @2 :Float32;  # requests within the quota's window
     lastPerSecond @3 :Float32;  # demand in the last slot of it
+    usualPerSecond @4 :Float32;  # demand over some seconds
   }
 }
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -296,6 +296,7 @@
   for (const auto& [workspace, use] : report.uses_) {
     entries[at].setWorkspace(workspace);
     entries[at].setPerSecond(static_cast<float>(use.per_second_));
+    entries[at].setUsualPerSecond(static_cast<float>(use.usual_per_second_));
     entries[at].setLastPerSecond(static_cast<float>(use.last_per_second_));
     entries[at++].setUsed(static_cast<float>(use.used_));
   }
@@ -310,6 +311,7 @@
     report.uses_[entry.getWorkspace()] = {
         .per_second_ = entry.getPerSecond(),
         .last_per_second_ = entry.getLastPerSecond(),
+        .usual_per_second_ = entry.getUsualPerSecond(),
         .used_ = entry.getUsed()};
   }
   return report;
