Quotas: a node's own limit allows for requests that come together

A workspace sends less than one request a second through most nodes, and several at a time; three a second was too narrow.

The local limit is three requests plus 1.25 times the node's part again, and what is left of a window is given out over 1.1 s instead of 1 s to make up for that. All rows of FleetKeepsTheLimitInEveryWindow hold (rises up to 9 times).

--- a/src/quota/quota.cc
+++ b/src/quota/quota.cc
@@ -52,8 +52,7 @@
   }
   const double per_second = part / InSeconds(options.window_);
   return UsedInSlots(meter, SlotsPerSecond(options)) <
-         std::max(options.min_local_limit_,
-                  1.0 + options.local_factor_ * per_second);
+         options.local_burst_ + options.local_factor_ * per_second;
 }
 
 }  // namespace
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -20,14 +20,15 @@
   Duration window_ = std::chrono::seconds(5);
   // Time over which the rest of a window is given out. Longer than the age of
   // the sums, since what was sent since then is not in them.
-  Duration reaction_ = std::chrono::milliseconds(1000);
+  Duration reaction_ = std::chrono::milliseconds(1100);
   // Age of the sums from which a node counts as cut off: it then keeps to its
   // own part of the limit.
   Duration max_sum_age_ = std::chrono::seconds(1);
-  // A node's own limit for one second: one request more than its part of the
-  // workspace's limit times a factor, but at least a number of requests.
-  double min_local_limit_ = 3.0;
-  double local_factor_ = 1.5;
+  // A node's own limit for one second: a number of requests, plus its part of
+  // the workspace's limit times a factor. Requests of a workspace are few at
+  // most nodes, and come several at a time.
+  double local_burst_ = 3.0;
+  double local_factor_ = 1.25;
 };
 
 // Limit of a workspace. It may use per_second_ times the window, plus burst_,
