Quotas: slots of the window keep their length

The window of a quota was 6 s instead of 5: a slot of 250 ms ended with the next tick of 100 ms, and the rest of the time was lost, so that use and demand were counted a fifth too high and requests within the limit were refused.

UseIsCountedOverTheWindow fails without the change: 118 requests counted where 100 were sent in the window.

--- a/src/relay/internal/workspaces.cc
+++ b/src/relay/internal/workspaces.cc
@@ -141,10 +141,11 @@
   const Duration slot = QuotaSlotLength(step.options_.quota_);
   if (quota.advanced_at_ == Timestamp{}) quota.advanced_at_ = step.now_;
   if (step.now_ - quota.advanced_at_ < slot) return false;
+  const std::int64_t ended = (step.now_ - quota.advanced_at_) / slot;
+  // Ticks are not multiples of a slot: the rest belongs to the next one.
+  quota.advanced_at_ += slot * ended;
   // After a pause of the process only the slots of one window matter.
-  const auto slots = std::min<std::int64_t>(
-      (step.now_ - quota.advanced_at_) / slot, kQuotaSlots);
-  quota.advanced_at_ = step.now_;
+  const auto slots = std::min<std::int64_t>(ended, kQuotaSlots);
   for (auto& [workspace, meter] : quota.meters_) {
     for (std::int64_t i = 0; i < slots; ++i) {
       AdvanceSlot(meter, step.options_.quota_);
--- a/src/relay/tests/workspace_tests.cc
+++ b/src/relay/tests/workspace_tests.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(KeysDecideWhoIsServed);
   CPPUNIT_TEST(WithdrawnKeysAreRefusedBeforeEachSend);
   CPPUNIT_TEST(RequestsOverTheQuotaAreRefused);
+  CPPUNIT_TEST(UseIsCountedOverTheWindow);
   CPPUNIT_TEST(AggregatorAddsUpTheUseOfQuotas);
   CPPUNIT_TEST(OtherHostsReportToTheAggregator);
   CPPUNIT_TEST_SUITE_END();
@@ -183,6 +184,23 @@
     }
   }
 
+  // Ticks come every 100 ms, slots end every 250 ms. Guards against slots that
+  // last until the next tick, which made the window a fifth longer and refused
+  // requests within the limit.
+  void UseIsCountedOverTheWindow() {
+    NodeWithWorkspaces node(TableWithWorkspaces(1, 1000.0));
+    const std::uint64_t gates = HashBytes(std::string("gates"));
+    constexpr int kSeconds = 12;
+    constexpr std::uint64_t kPerSecond = 20;
+    for (std::uint64_t id = 1; id <= kSeconds * kPerSecond; ++id) {
+      node.Send(id, "/read/1", kKey);
+      node.harness_.RunFor(milliseconds(1000) / kPerSecond);
+    }
+    const QuotaUse use = UseOf(node.harness_.state().quota_.meters_.at(gates));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(5.0 * kPerSecond, use.used_, 6.0);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 * kPerSecond, use.per_second_, 2.0);
+  }
+
   // The sums decide what the whole fleet admits. Guards against forgetting what
   // a host has sent because its process restarted, and against a zone that is
   // cut off and goes on sending its part of the limit.
