Logs: what a backend server's answers state about it

The two statements of an answer about its sender, the rate limit and leaving, are decoded in the adapter into BackendNotice; no decision uses them yet. The log has a line when a limit is named, changes by a tenth or ends, with the arrivals a second beside it; two gauges show the same.

Input that cannot be read (empty, negative, infinite, a list, text after the number) is logged and leaves the known limit as it is; of several values the lowest is taken.

--- a/src/relay/internal/demand.cc
+++ b/src/relay/internal/demand.cc
@@ -256,7 +256,7 @@
         static_cast<double>(meter.usual_time_left_.count()) * kDeadlineDecay));
   }
   CloseCallWindow(step);
-  TickArrivals(step);
+  TickArrivals(step, elapsed);
   state.refused_slots_ = state.refused_in_window_ *
                          InSeconds(MeanHoldTime(state)) / InSeconds(elapsed);
   state.refused_in_window_ = 0;
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -297,6 +297,8 @@
   OpenRun& run = found->second;
   ReleaseSlot(step, run);
   const Duration hold = step.now_ - run.started_at_;
+  // A corrupted response may come from another sender.
+  if (!responded.corrupted_) OnBackendNotice(step, run, responded.notice_);
   if (responded.corrupted_) {
     ++step.state_.counters_.runs_broken_;
     LogRunBroken(step, run, "body is not what the backend server made");
--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -79,6 +79,7 @@
                                    step.options_.heartbeat_interval_},
                    "new incarnation");
     step.state_.run_stats_.clear();
+    backend.rate_limit_ = {};
     backend.state_ = BackendState::kUnknown;
   }
   const bool resized = heartbeat.slots_ != backend.slots_;
--- a/src/relay/internal/rejections.cc
+++ b/src/relay/internal/rejections.cc
@@ -63,8 +63,9 @@
   return repeat;
 }
 
-void TickArrivals(RelayStep& step) {
+void TickArrivals(RelayStep& step, Duration elapsed) {
   ArrivalMeter& meter = step.state_.arrivals_;
+  meter.per_second_ = meter.arrived_ / InSeconds(elapsed);
   // A window without arrivals counts as one without rejections. The share thus
   // decays, so that requests are sent here again and show the actual share.
   const double rejected = meter.arrived_ == 0
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -69,8 +69,8 @@
 // time; a repeat at the host costs no network transfer, and the host is where
 // all runs that compete for these retries meet.
 bool AllowRepeatAfterRejection(RelayStep& step, OpenRun& run);
-// Updates the rejected share at the end of a window.
-void TickArrivals(RelayStep& step);
+// Updates rate and rejected share at the end of a window of this length.
+void TickArrivals(RelayStep& step, Duration elapsed);
 // Refuses all runs that wait for a slot.
 void RefuseWaiting(RelayStep& step, NotRunReason reason);
 // Id of the local run whose deadline is nearest to that of a call, within
@@ -83,6 +83,9 @@
 void OnBackendHeartbeat(RelayStep& step, const BackendHeartbeat& heartbeat);
 void OnBackendDeregistered(RelayStep& step,
                            const BackendDeregistered& deregistered);
+// Applies what a response states about the incarnation that ran the run.
+void OnBackendNotice(RelayStep& step, const OpenRun& run,
+                     const BackendNotice& notice);
 // No connection to the backend server could be opened.
 void OnBackendUnreachable(RelayStep& step);
 // Nothing listens at the backend server's address: it has ended.
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -121,6 +121,7 @@
   kRunBroken,
   kBackendChanged,
   kBackendEnded,
+  kRateLimitChanged,  // named by the local backend server
   kContentCharged,
   kContentCleared,
   kPeerChanged,
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -65,6 +65,15 @@
   std::string detail_;  // the sender
 };
 
+// What a response states about the backend server that sent it.
+struct BackendNotice {
+  // Requests a second that it accepts from all hosts together.
+  std::optional<double> rate_limit_;
+  // It names a rate limit that cannot be read.
+  bool rate_limit_unreadable_ = false;
+  bool leaving_ = false;  // accepts no new requests and is about to end
+};
+
 // Response of the local backend server to a run.
 struct BackendResponded {
   std::uint64_t run_id_ = 0;
@@ -72,6 +81,7 @@
   // The backend server states that it did not run the request.
   bool not_run_ = false;
   bool corrupted_ = false;  // the body differs from what it sent
+  BackendNotice notice_;
 };
 
 // Why a run got no response from the local backend server.
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -233,11 +233,12 @@
   Timestamp last_at_;          // end of the last run
 };
 
-// Share of the arriving runs that the local backend server rejects.
+// Runs that arrive at the local backend server, and the share that it rejects.
 struct ArrivalMeter {
   std::uint32_t arrived_ = 0;    // in the current window
   std::uint32_t rejected_ = 0;   // in the current window
   double rejected_share_ = 0.0;  // smoothed
+  double per_second_ = 0.0;      // arrivals in the last window
 };
 
 // Latest sum received from another zone of the region.
@@ -318,7 +319,13 @@
   std::optional<Duration> min_offset_;
 };
 
-// State of the local backend server, from its heartbeats.
+// Rate limit that an incarnation of the local backend server has named.
+struct NamedRateLimit {
+  std::optional<double> per_second_;  // nullopt: none is known
+  Timestamp named_at_;                // by the latest response that named it
+};
+
+// State of the local backend server, from its heartbeats and responses.
 struct LocalBackend {
   BackendState state_ = BackendState::kUnknown;
   std::string instance_;
@@ -327,6 +334,7 @@
   std::uint64_t sequence_ = 0;
   std::uint32_t slots_ = 0;
   Timestamp received_at_;  // of the last heartbeat
+  NamedRateLimit rate_limit_;
 };
 
 // Demand for one route that arrives at this node.
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -75,6 +75,8 @@
       return "backend_changed";
     case DecisionKind::kBackendEnded:
       return "backend_ended";
+    case DecisionKind::kRateLimitChanged:
+      return "rate_limit_changed";
     case DecisionKind::kContentCharged:
       return "content_charged";
     case DecisionKind::kContentCleared:
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -93,6 +93,10 @@
   Counter(text, "inputs_unreadable", counters.inputs_unreadable_);
   Gauge(text, "running", state.running_);
   Gauge(text, "waiting", static_cast<double>(state.waiting_.runs_.size()));
+  Gauge(text, "backend_arrivals_per_second", state.arrivals_.per_second_);
+  // Negative: the backend server names none.
+  Gauge(text, "backend_rate_limit",
+        state.backend_.rate_limit_.per_second_.value_or(-1.0));
   Gauge(text, "rejected_share", state.arrivals_.rejected_share_);
   Gauge(text, "suspect_contents",
         static_cast<double>(state.content_watch_.known_.suspects_.size()));
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -249,7 +249,8 @@
   Feed(BackendResponded{.run_id_ = run_id,
                         .response_ = std::move(response),
                         .not_run_ = metadata.not_run_,
-                        .corrupted_ = metadata.corrupted_});
+                        .corrupted_ = metadata.corrupted_,
+                        .notice_ = metadata.notice_});
 }
 
 std::string RelayShell::Metrics() const { return metrics_.Render(state_); }
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -41,6 +41,7 @@
 struct ResponseMetadata {
   bool not_run_ = false;    // the backend server did not run the request
   bool corrupted_ = false;  // not the response that the backend server made
+  BackendNotice notice_;
 };
 
 // Header names and document encoding of the platform that the relay runs on.
