Relay model: backend servers name rate limits; known red

The model's backend servers name a limit in their answers and check their own windows of 4 s: one and a half times the limit and 5 requests, from 4 s after it was first named.

Rows: most and all servers of a service, their relays restart, a service that others call, a limit below what one call tree needs, a limit of zero, a surge, rejections by the backend servers, 66 hosts.

--- a/src/relaymodel/experiment.cc
+++ b/src/relaymodel/experiment.cc
@@ -97,6 +97,9 @@
         simulator_.SetPartitioned(partition.zone_, false);
       });
     }
+    for (const FleetRateLimit& limit : options_.rate_limits_) {
+      SetRateLimit(limit);
+    }
     for (const FleetRestart& restart : options_.restarts_) {
       simulator_.At(begin_ + restart.at_,
                     [this, &restart] { Restart(restart); });
@@ -194,10 +197,40 @@
   }
 
   void Restart(const FleetRestart& restart) {
-    const std::vector<std::size_t> hosts = DrawHosts("", restart.share_);
+    const std::vector<std::size_t> hosts =
+        DrawHosts(restart.service_, restart.share_);
     for (const std::size_t host : hosts) simulator_.Kill(host);
-    simulator_.At(simulator_.now() + kRestartTime, [this, hosts] {
-      for (const std::size_t host : hosts) simulator_.Restart(host);
+    simulator_.At(simulator_.now() + kRestartTime, [this, hosts, &restart] {
+      for (const std::size_t host : hosts) {
+        restart.relays_only_ ? simulator_.RestartRelay(host)
+                             : simulator_.Restart(host);
+      }
+    });
+  }
+
+  // The first hosts of the service are limited, so that the periods of several
+  // limits concern the same ones.
+  void SetRateLimit(const FleetRateLimit& limit) {
+    std::vector<std::size_t> members;
+    const auto& hosts = simulator_.fleet().hosts_;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      if (hosts[i].service_ == limit.service_) members.push_back(i);
+    }
+    members.resize(static_cast<std::size_t>(
+        std::lround(limit.share_ * static_cast<double>(members.size()))));
+    simulator_.At(begin_ + limit.from_, [this, members, &limit] {
+      for (const std::size_t host : members) {
+        simulator_.SetRateLimit(host, limit.per_second_);
+      }
+    });
+    const bool is_last = std::none_of(
+        options_.rate_limits_.begin(), options_.rate_limits_.end(),
+        [&](const FleetRateLimit& other) { return other.from_ == limit.to_; });
+    if (!is_last) return;
+    simulator_.At(begin_ + limit.to_, [this, members] {
+      for (const std::size_t host : members) {
+        simulator_.SetRateLimit(host, std::nullopt);
+      }
     });
   }
 
@@ -321,6 +354,7 @@
     }
     result_.recovery_seconds_ = RecoverySeconds();
     EvaluateCrashing();
+    result_.rate_limit_use_ = simulator_.rate_limit_use();
     result_.harmless_refused_ = simulator_.harmless_refused();
     result_.notices_ = simulator_.notices().notices_;
     result_.charge_writes_ = simulator_.charge_writes();
--- a/src/relaymodel/fleet_simulator.cc
+++ b/src/relaymodel/fleet_simulator.cc
@@ -52,6 +52,37 @@
   return trace_id.substr(0, trace_id.find('.'));
 }
 
+// What a backend server may get, from the limits that it has named.
+struct RateLimitAudit {
+  struct Period {
+    Timestamp from_;
+    std::optional<double> per_second_;
+  };
+  std::optional<Timestamp> named_at_;  // first; reset when it names none
+  std::vector<Period> periods_;        // in order; the last one lasts
+  std::deque<Timestamp> arrivals_;     // of the last window
+
+  std::optional<double> PerSecond() const {
+    return periods_.empty() ? std::nullopt : periods_.back().per_second_;
+  }
+
+  // Requests allowed in the window that ends now; nullopt: any number.
+  std::optional<double> Allowed(Timestamp now) const {
+    if (!named_at_ || now < *named_at_ + kRateLimitGrace) return std::nullopt;
+    const Timestamp from = now - kRateLimitWindow;
+    double limit = 0.0;
+    Timestamp end = now;
+    for (auto it = periods_.rbegin(); it != periods_.rend() && end > from;
+         ++it) {
+      if (!it->per_second_) return std::nullopt;
+      const Timestamp begin = std::max(from, it->from_);
+      limit += *it->per_second_ * InSeconds(end - begin);
+      end = begin;
+    }
+    return kRateLimitTolerance * limit + kRateLimitSlack;
+  }
+};
+
 }  // namespace
 
 // A run at a backend server.
@@ -81,6 +112,7 @@
   std::unordered_map<std::uint64_t, Run> runs_;
   std::set<std::uint64_t> requests_;  // not answered yet
   std::deque<Run> queue_;             // used without relays
+  RateLimitAudit limit_audit_;
 };
 
 FleetSimulator::FleetSimulator(const Fleet& fleet, const FleetPolicy& policy,
@@ -108,13 +140,16 @@
   now_ = end;
 }
 
-void FleetSimulator::Start(std::size_t index) {
+void FleetSimulator::Start(std::size_t index, bool keeps_backend) {
   const FleetHost& host = fleet_.hosts_[index];
   Node& node = *nodes_[index];
   node.alive_ = true;
-  node.backend_alive_ = true;
   ++node.process_;
-  ++node.incarnation_;
+  if (!keeps_backend) {
+    node.backend_alive_ = true;
+    ++node.incarnation_;
+    node.limit_audit_ = {};
+  }
   if (policy_.without_relays_) return;
   node.options_ = {.address_ = AddressOf(index),
                    .zone_ = host.zone_,
@@ -495,11 +530,15 @@
         BackendExchangeFailed{.run_id_ = start.run_id_,
                               .failure_ = BackendExchangeFailure::kRefused});
   }
+  CountLimitedArrival(index);
+  const BackendNotice notice{.rate_limit_ =
+                                 nodes_[index]->limit_audit_.PerSecond()};
   if (Rejects(index, *FindHeader(start.request_.headers_, "Id"))) {
     return EffectRunner{*this, index}.FeedLater(
         kBackendLatency, BackendResponded{.run_id_ = start.run_id_,
                                           .response_ = {.status_ = 503},
-                                          .not_run_ = true});
+                                          .not_run_ = true,
+                                          .notice_ = notice});
   }
   const std::string& target = start.request_.target_;
   const auto route =
@@ -577,14 +616,17 @@
     return StartNext(index);
   }
   if (status == 0) return;
-  At(now_ + kBackendLatency,
-     [this, index, run_id, status, process = node.process_] {
-       if (nodes_[index]->process_ != process) return;
-       Http1Response response{.status_ = status};
-       response.body_.assign(kResponseBodyBytes, 'b');
-       Feed(index, BackendResponded{.run_id_ = run_id,
-                                    .response_ = std::move(response)});
-     });
+  At(now_ + kBackendLatency, [this, index, run_id, status,
+                              process = node.process_] {
+    if (nodes_[index]->process_ != process) return;
+    Http1Response response{.status_ = status};
+    response.body_.assign(kResponseBodyBytes, 'b');
+    Feed(index, BackendResponded{
+                    .run_id_ = run_id,
+                    .response_ = std::move(response),
+                    .notice_ = {.rate_limit_ =
+                                    nodes_[index]->limit_audit_.PerSecond()}});
+  });
 }
 
 void FleetSimulator::CrashBackend(std::size_t host) {
@@ -646,6 +688,34 @@
   if (!nodes_[host]->alive_) Start(host);
 }
 
+void FleetSimulator::RestartRelay(std::size_t host) {
+  if (!nodes_[host]->alive_) Start(host, true);
+}
+
+void FleetSimulator::SetRateLimit(std::size_t host,
+                                  std::optional<double> per_second) {
+  RateLimitAudit& audit = nodes_[host]->limit_audit_;
+  audit.periods_.push_back({.from_ = now_, .per_second_ = per_second});
+  if (!per_second) {
+    audit.named_at_.reset();
+  } else if (!audit.named_at_) {
+    audit.named_at_ = now_;
+  }
+}
+
+void FleetSimulator::CountLimitedArrival(std::size_t index) {
+  RateLimitAudit& audit = nodes_[index]->limit_audit_;
+  audit.arrivals_.push_back(now_);
+  while (audit.arrivals_.front() <= now_ - kRateLimitWindow) {
+    audit.arrivals_.pop_front();
+  }
+  if (const auto allowed = audit.Allowed(now_)) {
+    rate_limit_use_ =
+        std::max(rate_limit_use_,
+                 static_cast<double>(audit.arrivals_.size()) / *allowed);
+  }
+}
+
 std::uint64_t FleetSimulator::region_crossings() const {
   std::uint64_t crossings = region_crossings_;
   for (const auto& node : nodes_) {
--- a/src/relaymodel/fleet_simulator.h
+++ b/src/relaymodel/fleet_simulator.h
@@ -57,6 +57,14 @@
   }
   // Starts a killed host with new processes that know nothing of before.
   void Restart(std::size_t host);
+  // Starts only the relay of a killed host anew: its backend server has kept
+  // running.
+  void RestartRelay(std::size_t host);
+  // From now on the backend server of a host names this rate limit in its
+  // answers; nullopt: none.
+  void SetRateLimit(std::size_t host, std::optional<double> per_second);
+  // Largest use of a rate limit so far, see FleetResult::rate_limit_use_.
+  double rate_limit_use() const { return rate_limit_use_; }
   // Starts or ends a network partition between this zone and all others.
   void SetPartitioned(const std::string& zone, bool partitioned);
 
@@ -106,7 +114,9 @@
     }
   };
 
-  void Start(std::size_t index);
+  void Start(std::size_t index, bool keeps_backend = false);
+  // Counts a request that arrives at a backend server with a rate limit.
+  void CountLimitedArrival(std::size_t index);
   void Feed(std::size_t index, RelayEventBody body);
   // Carries out the effects of one step of the relay.
   void ApplyEffects(std::size_t index, std::vector<RelayEffect> effects);
@@ -163,6 +173,7 @@
   std::map<Fingerprint, SavedCharges> saved_charges_;
   std::uint64_t charge_writes_ = 0;
   std::set<std::string> arrived_trace_ids_;  // trace ids
+  double rate_limit_use_ = 0.0;
   std::function<void(const std::string&, Duration)> on_run_end_ =
       [](const auto&, Duration) {};
 };
--- a/src/relaymodel/fleet_types.h
+++ b/src/relaymodel/fleet_types.h
@@ -107,6 +107,19 @@
 struct FleetRestart {
   Duration at_ = Duration::zero();
   double share_ = 0.0;
+  std::string service_;  // only hosts of this service; empty: all
+  // The backend servers keep running.
+  bool relays_only_ = false;
+};
+
+// A period in which a share of the backend servers of a service name a rate
+// limit in their answers. The same servers are drawn in every period.
+struct FleetRateLimit {
+  std::string service_;
+  Duration from_ = Duration::zero();
+  Duration to_ = Duration::zero();
+  double share_ = 1.0;
+  double per_second_ = 0.0;  // of each server
 };
 
 // A network partition between a zone and all others.
@@ -125,6 +138,7 @@
   std::vector<FleetCrash> crashes_;
   std::vector<FleetRestart> restarts_;
   std::vector<FleetPartition> partitions_;
+  std::vector<FleetRateLimit> rate_limits_;
   // All requests of a route have the same content; otherwise no two do.
   bool identical_requests_ = true;
   double base_factor_ = 1.0;
@@ -155,7 +169,18 @@
 // Time from the third crash until a crashing content must not run any more.
 inline constexpr Duration kCondemnationGrace = std::chrono::seconds(4);
 
+// What a backend server may get in kRateLimitWindow while it names a rate
+// limit, from kRateLimitGrace after it first named it: kRateLimitTolerance
+// times the limit, and kRateLimitSlack requests.
+inline constexpr Duration kRateLimitGrace = std::chrono::seconds(4);
+inline constexpr Duration kRateLimitWindow = std::chrono::seconds(4);
+inline constexpr double kRateLimitTolerance = 1.5;
+inline constexpr double kRateLimitSlack = 5.0;
+
 struct FleetResult {
+  // Requests that a backend server with a rate limit got in kRateLimitWindow,
+  // as a share of what it may get, where this is largest.
+  double rate_limit_use_ = 0.0;
   std::map<std::string, FleetRouteResult> routes_;
   std::vector<FleetCrashingResult> crashing_;  // in the order of the options
   // Requests with a harmless content that were refused as suspect.
--- /dev/null
+++ b/src/relaymodel/tests/rate_limit_tests.cc
@@ -0,0 +1,122 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "relaymodel/experiment.h"
+#include "relaymodel/fleets.h"
+
+namespace jujubefront {
+namespace {
+
+using std::chrono::seconds;
+
+class RateLimitTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RateLimitTests);
+  CPPUNIT_TEST(BackendServersGetNoMoreThanTheyName);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A backend server in need names in its answers how many requests a second it
+  // accepts from all hosts. The rate must hold however many hosts send to it,
+  // and whatever the relay on its host still knows.
+  void BackendServersGetNoMoreThanTheyName() {
+    struct Row {
+      const char* name_;
+      bool grown_;
+      double demand_;
+      std::vector<FleetRateLimit> limits_;
+      std::vector<FleetRestart> restarts_;
+      std::vector<FleetSurge> surges_;
+      std::vector<FleetRejection> rejections_;
+    };
+    const auto limit = [](const char* service, double share, double rate) {
+      return FleetRateLimit{.service_ = service,
+                            .from_ = seconds(3),
+                            .to_ = seconds(17),
+                            .share_ = share,
+                            .per_second_ = rate};
+    };
+    const FleetRestart relays{.at_ = seconds(9),
+                              .share_ = 1.0,
+                              .service_ = "warranty",
+                              .relays_only_ = true};
+    const Row rows[] = {
+        {"most servers of a service",
+         false,
+         1.0,
+         {limit("warranty", 0.75, 11)},
+         {},
+         {},
+         {}},
+        {"all servers of a service",
+         false,
+         1.0,
+         {limit("warranty", 1.0, 11)},
+         {},
+         {},
+         {}},
+        {"their relays restart",
+         false,
+         1.0,
+         {limit("warranty", 1.0, 4)},
+         {relays},
+         {},
+         {}},
+        {"a service that others call",
+         false,
+         1.0,
+         {limit("jobs", 1.0, 60)},
+         {},
+         {},
+         {}},
+        {"less than one call tree needs",
+         false,
+         1.0,
+         {limit("jobs", 0.5, 0.4)},
+         {},
+         {},
+         {}},
+        {"no requests at all",
+         false,
+         1.0,
+         {limit("warranty", 0.5, 0.0)},
+         {},
+         {},
+         {}},
+        {"surge",
+         false,
+         1.0,
+         {limit("payments", 1.0, 10)},
+         {},
+         {{.from_ = seconds(6), .to_ = seconds(14), .factor_ = 2.5}},
+         {}},
+        {"part of the requests rejected",
+         false,
+         1.0,
+         {limit("jobs", 1.0, 60)},
+         {},
+         {},
+         {{.service_ = "jobs",
+           .from_ = seconds(4),
+           .to_ = seconds(16),
+           .share_ = 0.3}}},
+        {"66 hosts", true, 1.0, {limit("warranty", 0.7, 10)}, {}, {}, {}},
+    };
+    for (const Row& row : rows) {
+      const FleetResult result = RunFleet(BrolgaFleet(row.grown_), {},
+                                          {.length_ = seconds(20),
+                                           .surges_ = row.surges_,
+                                           .rejections_ = row.rejections_,
+                                           .restarts_ = row.restarts_,
+                                           .rate_limits_ = row.limits_,
+                                           .base_factor_ = row.demand_});
+      const std::string text = std::string(row.name_) + ": " +
+                               std::to_string(result.rate_limit_use_);
+      CPPUNIT_ASSERT_MESSAGE(text, result.rate_limit_use_ > 0.0);
+      CPPUNIT_ASSERT_MESSAGE(text, result.rate_limit_use_ <= 1.0);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitTests);
+
+}  // namespace
+}  // namespace jujubefront
