Rate limits: a backend server gets no more than it names

Ruled out: loss at a restart (the relays of the limited servers did not restart, and the rule broke 3 s before the planned restart), repeats (nothing was rejected).

The bound is kept where everything for a backend server passes, in the relay on its host: a token bucket paces the starts of runs, repeats after a rejection included (src/pacing, a token bucket as in ITU-T I.371). It starts empty, so that two processes of a host one after the other stay within the rate without the history of the first. The rate is the named one: what the rule allows above it is slack, not capacity. A rate below 0.5 is raised to that, since only answers show that a limit has ended.

A relay that has restarted learns the limit from the orders themselves: each carries what its entry has passed on from this incarnation, so that no bound entry can have an order run before the host knows. Statuses and replies carry the time until the next start and the slots usable at the rate; placement, zone sums, the plan of admission and overflow use these.

An answer with a higher limit, or none, counts only if its run started after the known limit was last named, since answers of overlapping runs may cross.

--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -15,19 +15,20 @@
 
 }  // namespace
 
-Duration ExpectedSlotWait(const PlacementCandidate& candidate) {
+Duration ExpectedStartWait(const PlacementCandidate& candidate) {
   if (candidate.slots_ == 0) return candidate.hold_;
   const double excess_load =
       candidate.load_ + 1.0 - static_cast<double>(candidate.slots_);
-  if (excess_load <= 0.0) return Duration::zero();
-  return Scaled(candidate.hold_,
-                excess_load / static_cast<double>(candidate.slots_));
+  if (excess_load <= 0.0) return candidate.start_wait_;
+  return std::max(candidate.start_wait_,
+                  Scaled(candidate.hold_,
+                         excess_load / static_cast<double>(candidate.slots_)));
 }
 
 Duration ExpectedFinish(const PlacementCandidate& candidate,
                         const PlacementOptions& options,
                         const PlacementRequest& request) {
-  Duration finish = candidate.hold_ + ExpectedSlotWait(candidate);
+  Duration finish = candidate.hold_ + ExpectedStartWait(candidate);
   const double slots = std::max(1.0, static_cast<double>(candidate.slots_));
   const double utilisation = candidate.load_ / slots;
   if (utilisation > options.slowdown_load_share_) {
@@ -48,7 +49,8 @@
 
 bool HasCapacityForRemoteRequests(const PlacementCandidate& candidate,
                                   const PlacementOptions& options) {
-  return candidate.load_ <= static_cast<double>(candidate.slots_) *
+  return candidate.start_wait_ <= Duration::zero() &&
+         candidate.load_ <= static_cast<double>(candidate.slots_) *
                                 (1.0 - options.min_remote_free_share_);
 }
 
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -21,6 +21,8 @@
   double load_ = 0.0;                 // runs that hold or wait for a slot
   Duration hold_ = Duration::zero();  // measured duration of one run
   double failure_share_ = 0.0;        // recently seen by this node, in [0, 1]
+  // Time until a rate limit of its backend server allows another start.
+  Duration start_wait_ = Duration::zero();
 };
 
 // Settings of the choice of a host.
@@ -54,7 +56,8 @@
                         const PlacementOptions& options,
                         const PlacementRequest& request);
 
-// Whether a host of a remote region has enough free slots to be a candidate.
+// Whether a host of a remote region has enough free slots to be a candidate,
+// and may start a run now.
 bool HasCapacityForRemoteRequests(const PlacementCandidate& candidate,
                                   const PlacementOptions& options);
 
@@ -66,8 +69,8 @@
     const PlacementOptions& options, const PlacementRequest& request,
     double draw);
 
-// Expected time that a new run waits for a slot at this candidate.
-Duration ExpectedSlotWait(const PlacementCandidate& candidate);
+// Expected time until a new run starts at this candidate.
+Duration ExpectedStartWait(const PlacementCandidate& candidate);
 
 }  // namespace jujubefront
 
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -155,6 +155,13 @@
                     .made_by_node_ = true});
 }
 
+// What this node knows from answers of the peer's present incarnation.
+BackendStatement KnownStatement(const Peer& peer) {
+  const bool current =
+      peer.stated_.started_at_ms_ == peer.status_.backend_started_at_ms_;
+  return current ? peer.stated_ : BackendStatement{};
+}
+
 RunOrder MakeOrder(RelayStep& step, const OpenRequest& request,
                    const Peer& peer) {
   return {.send_id_ = request.send_id_,
@@ -173,6 +180,7 @@
           .idempotent_ = request.idempotent_,
           .remaining_ = request.deadline_ - step.now_,
           .objective_left_ = request.objective_at_ - step.now_,
+          .known_ = KnownStatement(peer),
           .request_ = request.request_};
 }
 
@@ -337,10 +345,12 @@
 }
 
 // Updates load and slot time of a peer's backend server from a reply.
-void RecordReportedLoad(Peer& peer, const RunReply& reply,
-                        const OpenSend& send) {
+void RecordReportedLoad(Peer& peer, const RunReply& reply, const OpenSend& send,
+                        Timestamp now) {
   peer.status_.running_ = reply.running_;
   peer.status_.waiting_ = reply.waiting_;
+  peer.status_.start_limit_ = reply.start_limit_;
+  peer.load_reported_at_ = now;
   peer.sent_since_report_ = 0;
   if (reply.outcome_ != RunOutcome::kAnswered) return;
   Duration& hold = peer.holds_[send.route_];
@@ -588,7 +598,8 @@
   step.state_.sends_.erase(found);
   Peer& peer = EnsurePeer(step, send.peer_);
   if (peer.in_flight_ > 0) --peer.in_flight_;
-  RecordReportedLoad(peer, reply, send);
+  RecordReportedLoad(peer, reply, send, step.now_);
+  RecordStatement(peer, reply.stated_);
   RecordRunOutcome(step, peer, IsFailure(reply));
   const auto open = step.state_.requests_.find(send.request_id_);
   // Only the reply to the current send counts; earlier sends were abandoned.
--- a/src/relay/internal/host_choice.cc
+++ b/src/relay/internal/host_choice.cc
@@ -32,6 +32,17 @@
   return Duration::zero();
 }
 
+// Time until the peer may start another run, by its last report and what was
+// sent to it since.
+Duration StartWaitAt(const Peer& peer, Timestamp now) {
+  const auto& limit = peer.status_.start_limit_;
+  if (!limit || limit->per_second_ <= 0.0) return Duration::zero();
+  const auto sent = Duration(static_cast<std::int64_t>(
+      peer.sent_since_report_ / limit->per_second_ * 1e6));
+  return std::max(Duration::zero(), limit->next_start_in_ + sent -
+                                        (now - peer.load_reported_at_));
+}
+
 // Assumes that a backend server that has not run the route yet is as fast as
 // the fastest, so that it receives requests and can be measured.
 void FillUnknownHoldTimes(std::vector<PlacementCandidate>& candidates) {
@@ -92,7 +103,8 @@
          .load_ = std::max<double>(reported, peer.in_flight_) +
                   peer.sent_since_report_,
          .hold_ = HoldTimeAt(peer, request.route_),
-         .failure_share_ = DecayedFailureShare(peer.failure_rate_, step.now_)});
+         .failure_share_ = DecayedFailureShare(peer.failure_rate_, step.now_),
+         .start_wait_ = StartWaitAt(peer, step.now_)});
     if (overflows && !HasCapacityForRemoteRequests(candidates.back(),
                                                    step.options_.placement_)) {
       candidates.pop_back();
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -34,10 +34,17 @@
 
 namespace {
 
-SlotUse CurrentSlotUse(const RelayState& state) {
-  return {.slots_ = state.backend_.slots_,
-          .running_ = state.running_,
-          .mean_hold_ = MeanHoldTime(state)};
+SlotUse CurrentSlotUse(const RelayStep& step) {
+  const RelayState& state = step.state_;
+  SlotUse use{.slots_ = state.backend_.slots_,
+              .running_ = state.running_,
+              .mean_hold_ = MeanHoldTime(state)};
+  const NamedRateLimit& limit = state.backend_.rate_limit_;
+  if (!limit.per_second_) return use;
+  use.starts_per_second_ = limit.pacer_.per_second_;
+  use.starts_now_ =
+      AvailableStarts(limit.pacer_, step.options_.pacing_, step.now_);
+  return use;
 }
 
 void Reply(RelayStep& step, const OpenRun& run, RunReply reply) {
@@ -45,6 +52,7 @@
   reply.running_ = step.state_.running_;
   reply.waiting_ =
       static_cast<std::uint32_t>(step.state_.waiting_.runs_.size());
+  reply.start_limit_ = FindStartLimit(step);
   reply.calls_failed_ =
       run.calls_failed_ || (run.started_at_ != Timestamp{} &&
                             step.state_.call_failed_at_ >= run.started_at_);
@@ -84,6 +92,13 @@
   const double weight = 1.0 / stats.runs_;
   stats.hold_seconds_ += weight * (hold - stats.hold_seconds_);
   stats.last_at_ = step.now_;
+  Duration& recent = step.state_.recent_hold_;
+  const Duration held = step.now_ - run.started_at_;
+  recent = recent == Duration::zero()
+               ? held
+               : recent + Duration(static_cast<std::int64_t>(
+                              kSmoothingWeight *
+                              static_cast<double>((held - recent).count())));
 }
 
 void ReleaseSlot(RelayStep& step, OpenRun& run) {
@@ -114,6 +129,7 @@
   RecordContainedRun(step, run);
   ++step.state_.running_;
   ++step.state_.counters_.runs_;
+  RecordLimitedStart(step);
   RecordBackendArrival(step, run);
   step.state_.call_window_.runs_[run.order_.route_] += 1.0;
   LogRunStarted(step, run);
@@ -181,6 +197,7 @@
   run.arrived_ = step.now_;
   run.deadline_ = step.now_ + run.order_.remaining_;
   step.state_.run_of_send_[{connection_id, run.order_.send_id_}] = run_id;
+  AdoptRateLimit(step, run.order_);
   const NotRunReason reason = FindRefusalReason(step, run.order_);
   if (reason != NotRunReason::kNone) return ReplyNotRun(step, run, reason);
   ScheduleTimer(step, run.deadline_, RelayTimerKind::kRunDeadline, run_id);
@@ -191,7 +208,7 @@
       .priority_ = run.order_.priority_,
       .arrived_ = step.now_,
       .start_by_ = LatestStart(step, run.order_)};
-  if (!Enqueue(step.state_.waiting_, CurrentSlotUse(step.state_), step.now_,
+  if (!Enqueue(step.state_.waiting_, CurrentSlotUse(step), step.now_,
                waiting)) {
     ++step.state_.refused_in_window_;
     return ReplyNotRun(step, run, NotRunReason::kOverloaded);
@@ -206,8 +223,8 @@
 void StartWaiting(RelayStep& step) {
   RelayState& state = step.state_;
   while (state.running_ < state.backend_.slots_ && BackendIsReady(state)) {
+    if (state.waiting_.runs_.empty() || !IsStartAllowed(step)) return;
     const auto next = TakeNext(state.waiting_);
-    if (!next) return;
     OpenRun& run = state.runs_.at(next->run_id_);
     if (run.deadline_ <= step.now_) {
       ReplyNotRun(step, run, NotRunReason::kExpired);
@@ -309,9 +326,10 @@
     step.state_.call_window_.runs_[run.order_.route_] -= 1.0;
     if (AllowRepeatAfterRejection(step, run)) return BeginRun(step, run);
     ++step.state_.counters_.runs_refused_;
-    Reply(
-        step, run,
-        {.outcome_ = RunOutcome::kNotRun, .reason_ = NotRunReason::kRejected});
+    Reply(step, run,
+          {.outcome_ = RunOutcome::kNotRun,
+           .reason_ = NotRunReason::kRejected,
+           .stated_ = MakeStatement(step, run)});
   } else {
     RecordRunDuration(step, run);
     // A failed run may not have made all its calls, so it is not counted.
@@ -324,6 +342,7 @@
     Reply(step, run,
           {.outcome_ = RunOutcome::kAnswered,
            .hold_ = hold,
+           .stated_ = MakeStatement(step, run),
            .response_ = std::move(responded.response_)});
   }
   EraseRun(step, run);
--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -80,6 +80,7 @@
                    "new incarnation");
     step.state_.run_stats_.clear();
     backend.rate_limit_ = {};
+    step.state_.recent_hold_ = Duration::zero();
     backend.state_ = BackendState::kUnknown;
   }
   const bool resized = heartbeat.slots_ != backend.slots_;
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -67,11 +67,14 @@
   return status;
 }
 
-bool IsSaturated(const RelayState& state) {
+bool IsSaturated(const RelayStep& step) {
+  const RelayState& state = step.state_;
   const auto slots_wanted = static_cast<double>(state.running_) +
                             static_cast<double>(state.waiting_.runs_.size()) +
                             state.refused_slots_;
-  return slots_wanted >= kSaturatedShare * state.backend_.slots_;
+  const auto limit = FindStartLimit(step);
+  const double slots = limit ? limit->usable_slots_ : state.backend_.slots_;
+  return slots_wanted >= kSaturatedShare * slots;
 }
 
 void SendStatus(RelayStep& step, Peer& peer, const HostStatus& status) {
@@ -285,6 +288,7 @@
       .backend_sequence_ = state.backend_.sequence_,
       .backend_ = state.backend_.state_,
       .slots_ = state.backend_.slots_,
+      .start_limit_ = FindStartLimit(step),
       .running_ = state.running_,
       .waiting_ = static_cast<std::uint32_t>(
           static_cast<double>(state.waiting_.runs_.size()) +
@@ -365,11 +369,20 @@
   ApplyLeaveNotice(step, peer, connection_id, status);
   SetStatus(step, peer, std::move(status));
   peer.sent_since_report_ = 0;
+  peer.load_reported_at_ = step.now_;
   if (is_new || restarted) LogPeer(step, peer, is_new ? "known" : "restarted");
   // The peer is running, so reconnect without waiting for reconnect_at_.
   if (!peer.connected_ && !peer.connecting_) Connect(step, peer);
 }
 
+void RecordStatement(Peer& peer, const BackendStatement& stated) {
+  if (stated.started_at_ms_ <
+      std::max<std::int64_t>(1, peer.stated_.started_at_ms_)) {
+    return;
+  }
+  peer.stated_ = stated;
+}
+
 void OnPeerConnected(RelayStep& step, const std::string& address) {
   Peer& peer = EnsurePeer(step, address);
   peer.connecting_ = false;
@@ -421,7 +434,7 @@
 }
 
 void TickPeers(RelayStep& step) {
-  if (IsSaturated(step.state_)) step.state_.saturated_at_ = step.now_;
+  if (IsSaturated(step)) step.state_.saturated_at_ = step.now_;
   QueryTable(step);
   QueryPeers(step);
   const PeerCounts peer_counts = CountPeers(step);
--- a/src/relay/internal/rejections.cc
+++ b/src/relay/internal/rejections.cc
@@ -26,13 +26,13 @@
          mean->second * kMaxRatioToMean + kRejectedShareTolerance;
 }
 
-bool IsRepeatUseful(const RelayStep& step, const OpenRun& run) {
+bool IsRepeatUseful(RelayStep& step, const OpenRun& run) {
   const RelayState& state = step.state_;
   return state.backend_.state_ == BackendState::kReady &&
          run.order_.instance_ == state.backend_.instance_ &&
          run.rejections_ <= kMaxRepeatsAtHost &&
          !RejectsMoreThanOthers(state) &&
-         !IsBlockedBySuspicion(step, run.order_) &&
+         !IsBlockedBySuspicion(step, run.order_) && IsStartAllowed(step) &&
          run.deadline_ - step.now_ > MeanHoldTime(state);
 }
 
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -41,6 +41,8 @@
 // Hosts that can take a request, with their load and failure rate.
 std::vector<PlacementCandidate> FindCandidates(RelayStep& step,
                                                const OpenRequest& request);
+// Records what a peer's backend server has stated in an answer.
+void RecordStatement(Peer& peer, const BackendStatement& stated);
 // Updates the failure rate of a peer's backend server with one run.
 void RecordRunOutcome(RelayStep& step, Peer& peer, bool failed);
 
@@ -86,6 +88,16 @@
 // Applies what a response states about the incarnation that ran the run.
 void OnBackendNotice(RelayStep& step, const OpenRun& run,
                      const BackendNotice& notice);
+// Applies what an entry knows of the local backend server's rate limit, unless
+// this process has it from the backend server itself.
+void AdoptRateLimit(RelayStep& step, const RunOrder& order);
+// Statement of the incarnation that ran the run.
+BackendStatement MakeStatement(const RelayStep& step, const OpenRun& run);
+// Whether the rate limit allows a start now. If not, schedules StartWaiting.
+bool IsStartAllowed(RelayStep& step);
+void RecordLimitedStart(RelayStep& step);
+// The limit on starts that follows from the rate limit, if there is one.
+std::optional<StartLimit> FindStartLimit(const RelayStep& step);
 // No connection to the backend server could be opened.
 void OnBackendUnreachable(RelayStep& step);
 // Nothing listens at the backend server's address: it has ended.
--- a/src/relay/internal/zone_sums.cc
+++ b/src/relay/internal/zone_sums.cc
@@ -68,9 +68,10 @@
   if (status.backend_ != BackendState::kReady || status.leaving_) return;
   ServiceLoad& load = view.services_[status.service_];
   load.service_ = status.service_;
-  load.slots_ += status.slots_;
+  const double slots = UsableSlots(status);
+  load.slots_ += slots;
   load.runs_ += status.running_ + status.waiting_;
-  load.rejected_slots_ += status.slots_ * status.rejected_share_;
+  load.rejected_slots_ += slots * status.rejected_share_;
 }
 
 void Add(RegionView& view, const ZoneSum& sum) {
@@ -179,7 +180,7 @@
     if (!peer.known_ || status.region_ == step.options_.region_) continue;
     if (status.backend_ != BackendState::kReady || status.leaving_) continue;
     RemoteService& service = services[{status.region_, status.service_}];
-    service.slots_ += status.slots_;
+    service.slots_ += UsableSlots(status);
     service.runs_ += status.running_ + status.waiting_;
   }
   std::set<std::string> regions;
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -25,6 +26,22 @@
   kUnreachable,  // refuses connections
 };
 
+// What an incarnation of a backend server has stated in its answers, as of the
+// latest one.
+struct BackendStatement {
+  std::int64_t started_at_ms_ = 0;  // of the incarnation; 0: none has answered
+  std::optional<double> rate_limit_;  // requests a second from all hosts
+};
+
+// Limit on the starts of runs that follows from the rate limit of a backend
+// server.
+struct StartLimit {
+  double per_second_ = 0.0;
+  // Time until another start is allowed, behind the runs that wait.
+  Duration next_start_in_ = Duration::zero();
+  double usable_slots_ = 0.0;  // mean number in use at this rate
+};
+
 // Status message that a node sends to its peers about itself and its backend
 // server.
 struct HostStatus {
@@ -41,6 +58,7 @@
   std::uint64_t backend_sequence_ = 0;      // of its latest heartbeat
   BackendState backend_ = BackendState::kUnknown;
   std::uint32_t slots_ = 0;
+  std::optional<StartLimit> start_limit_;
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;           // plus recent refusals, in slots
   std::uint64_t table_version_ = 0;     // of the routing document
@@ -52,10 +70,15 @@
   std::uint64_t suspicion_digest_ = 0;  // equal digests: equal suspicions
 };
 
+inline double UsableSlots(const HostStatus& status) {
+  return status.start_limit_ ? status.start_limit_->usable_slots_
+                             : status.slots_;
+}
+
 // Slots of a service in a zone and their use.
 struct ServiceLoad {
   std::string service_;
-  double slots_ = 0.0;
+  double slots_ = 0.0;           // usable ones
   double runs_ = 0.0;            // in progress and waiting
   double rejected_slots_ = 0.0;  // slots times rejected share
 };
@@ -97,6 +120,9 @@
   Duration remaining_ = Duration::zero();
   // Time left of the latency objective; may be negative.
   Duration objective_left_ = Duration::zero();
+  // What the entry has received from the backend server's incarnation. A host
+  // whose relay has restarted learns it from here.
+  BackendStatement known_;
   Http1Request request_;
 };
 
@@ -127,10 +153,12 @@
   NotRunReason reason_ = NotRunReason::kNone;
   std::uint32_t running_ = 0;  // of the backend server, after this run
   std::uint32_t waiting_ = 0;
+  std::optional<StartLimit> start_limit_;
   Duration hold_ = Duration::zero();  // time for which the run held its slot
   // A call made by the run was refused or failed. A resend to another backend
   // server would most likely fail in the same way.
   bool calls_failed_ = false;
+  BackendStatement stated_;
   Http1Response response_;
 };
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -39,6 +39,8 @@
       return OnRunDeadline(step, timer.id_);
     case RelayTimerKind::kWaitingSweep:
       return RefuseExpiredWaiting(step);
+    case RelayTimerKind::kPacedStart:
+      return StartWaiting(step);
     case RelayTimerKind::kCrashReport:
       return ReportUnanswered(step);
     case RelayTimerKind::kTick:
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -16,6 +16,7 @@
 #include "allocation/overflow.h"
 #include "base/hashing.h"
 #include "callgraph/callgraph.h"
+#include "pacing/pacing.h"
 #include "placement/placement.h"
 #include "quota/quota.h"
 #include "relay/relay_effect_types.h"
@@ -38,6 +39,7 @@
   std::uint64_t boot_ = 0;          // distinguishes processes at one address
   std::uint64_t seed_ = 0;          // of the random number generator
   PlacementOptions placement_;
+  PacingOptions pacing_;
   QuotaOptions quota_;
   AllocationOptions allocation_;
   // Sends requests that are not admitted to another region with free slots.
@@ -300,7 +302,8 @@
   bool avoided_ = false;         // receives new requests only as a last resort
   bool suspected_ = false;       // idempotent requests there are resent
   std::uint32_t in_flight_ = 0;  // run orders from this node
-  std::uint32_t sent_since_report_ = 0;  // run orders since its load report
+  Timestamp load_reported_at_;   // by its latest status or reply
+  std::uint32_t sent_since_report_ = 0;  // run orders since then
   Timestamp status_sent_at_;
   // Measured time for which a run holds its slot, by route.
   std::map<std::string, Duration> holds_;
@@ -308,6 +311,8 @@
   // Latest notice that its backend server is draining or gone. It is kept when
   // the peer's process restarts and no longer knows it.
   std::optional<BackendLeft> left_;
+  // Latest statement of its backend server that a reply has brought here.
+  BackendStatement stated_;
   Timestamp suspicion_synced_at_;  // last full suspicion notices sent to it
 };
 
@@ -323,6 +328,10 @@
 struct NamedRateLimit {
   std::optional<double> per_second_;  // nullopt: none is known
   Timestamp named_at_;                // by the latest response that named it
+  std::optional<double> logged_;      // as of the last log line
+  bool answered_ = false;  // the incarnation has answered this process
+  Pacer pacer_;            // of starts, while there is a limit
+  Timestamp broadcast_at_;
 };
 
 // State of the local backend server, from its heartbeats and responses.
@@ -367,6 +376,7 @@
   kRequestDeadline,
   kRunDeadline,
   kWaitingSweep,
+  kPacedStart,
   kCrashReport,
   kTick,
   kStore,
@@ -446,6 +456,9 @@
   CrashEvidence crash_evidence_;
   ContentWatch content_watch_;
   std::map<std::string, RunStats> run_stats_;
+  // Mean time for which a run holds its slot, over the latest runs of all
+  // routes as they come; zero: no run has ended yet.
+  Duration recent_hold_ = Duration::zero();
   // Runs refused for lack of a slot: their number in the current window, and
   // the slots that those of the last window would have used.
   std::uint32_t refused_in_window_ = 0;
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -55,6 +55,18 @@
   perSecond @2 :Float32;
 }
 
+# What an incarnation of a backend server has stated in its answers.
+struct BackendStatement {
+  startedAtMs @0 :Int64;
+  rateLimit @1 :Float64 = -1;  # negative: none
+}
+
+struct StartLimit {
+  perSecond @0 :Float32;  # zero: none
+  usableSlots @1 :Float32;
+  nextStartInUs @2 :Int64;
+}
+
 struct BackendLeft {
   instance @0 :Text;
   startedAtMs @1 :Int64;
@@ -124,6 +136,7 @@
   backendStartedAtMs @18 :Int64;
   backendSequence @19 :UInt64;
   suspicionDigest @20 :UInt64;
+  startLimit @21 :StartLimit;
 }
 
 struct Order {
@@ -148,6 +161,7 @@
   contentLow @18 :UInt64;
   workspace @19 :Text;
   workspacePriority @20 :UInt32;
+  known @21 :BackendStatement;
 }
 
 struct Reply {
@@ -161,6 +175,8 @@
   status @7 :UInt16;
   headers @8 :List(Header);
   body @9 :Data;
+  stated @10 :BackendStatement;
+  startLimit @11 :StartLimit;
 }
 
 struct TableText {
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstring>
 
 namespace jujubefront {
@@ -108,6 +109,46 @@
   return demands;
 }
 
+// A number that is absent if it is negative, or not a number.
+std::optional<double> ReadUnlessNegative(double number) {
+  return number >= 0.0 ? std::optional(number) : std::nullopt;
+}
+
+void Write(linkwire::StartLimit::Builder builder, const StartLimit& limit) {
+  builder.setPerSecond(static_cast<float>(limit.per_second_));
+  builder.setUsableSlots(static_cast<float>(limit.usable_slots_));
+  builder.setNextStartInUs(limit.next_start_in_.count());
+}
+
+// A limited backend server may start a run much earlier than this.
+constexpr Duration kMaxNextStart = std::chrono::minutes(10);
+
+std::optional<StartLimit> Read(linkwire::StartLimit::Reader reader) {
+  const double per_second = reader.getPerSecond();
+  const double usable_slots = reader.getUsableSlots();
+  if (!std::isfinite(per_second) || per_second <= 0.0) return std::nullopt;
+  if (!std::isfinite(usable_slots) || usable_slots < 0.0) return std::nullopt;
+  return StartLimit{
+      .per_second_ = per_second,
+      .next_start_in_ = std::clamp(Duration(reader.getNextStartInUs()),
+                                   Duration::zero(), kMaxNextStart),
+      .usable_slots_ = usable_slots};
+}
+
+// A statement that says nothing is not written.
+template <typename Init>
+void WriteStatement(Init init, const BackendStatement& statement) {
+  if (statement.started_at_ms_ == 0) return;
+  linkwire::BackendStatement::Builder builder = init();
+  builder.setStartedAtMs(statement.started_at_ms_);
+  if (statement.rate_limit_) builder.setRateLimit(*statement.rate_limit_);
+}
+
+BackendStatement Read(linkwire::BackendStatement::Reader reader) {
+  return {.started_at_ms_ = reader.getStartedAtMs(),
+          .rate_limit_ = ReadUnlessNegative(reader.getRateLimit())};
+}
+
 void Write(linkwire::Message::Builder message, const HostStatus& status) {
   auto builder = message.initStatus();
   builder.setAddress(ToText(status.address_));
@@ -133,6 +174,9 @@
   builder.setBackendStartedAtMs(status.backend_started_at_ms_);
   builder.setBackendSequence(status.backend_sequence_);
   builder.setSuspicionDigest(status.suspicion_digest_);
+  if (status.start_limit_) {
+    Write(builder.initStartLimit(), *status.start_limit_);
+  }
 }
 
 HostStatus Read(linkwire::Status::Reader reader) {
@@ -162,6 +206,9 @@
   status.backend_started_at_ms_ = reader.getBackendStartedAtMs();
   status.backend_sequence_ = reader.getBackendSequence();
   status.suspicion_digest_ = reader.getSuspicionDigest();
+  if (reader.hasStartLimit()) {
+    status.start_limit_ = Read(reader.getStartLimit());
+  }
   return status;
 }
 
@@ -336,6 +383,7 @@
   builder.setRemainingUs(order.remaining_.count());
   builder.setObjectiveLeftUs(order.objective_left_.count());
   builder.setTraceId(ToText(order.trace_id_));
+  WriteStatement([&] { return builder.initKnown(); }, order.known_);
   builder.setMethod(ToText(order.request_.method_));
   builder.setTarget(ToText(order.request_.target_));
   WriteHeaders(builder.initHeaders(order.request_.headers_.size()),
@@ -361,6 +409,7 @@
   order.remaining_ = Duration(reader.getRemainingUs());
   order.objective_left_ = Duration(reader.getObjectiveLeftUs());
   order.trace_id_ = ToString(reader.getTraceId());
+  order.known_ = Read(reader.getKnown());
   order.request_.method_ = ToString(reader.getMethod());
   order.request_.target_ = ToString(reader.getTarget());
   order.request_.headers_ = ReadHeaders(reader.getHeaders());
@@ -377,6 +426,10 @@
   builder.setWaiting(reply.waiting_);
   builder.setHoldUs(reply.hold_.count());
   builder.setCallsFailed(reply.calls_failed_);
+  WriteStatement([&] { return builder.initStated(); }, reply.stated_);
+  if (reply.start_limit_) {
+    Write(builder.initStartLimit(), *reply.start_limit_);
+  }
   builder.setStatus(static_cast<std::uint16_t>(reply.response_.status_));
   WriteHeaders(builder.initHeaders(reply.response_.headers_.size()),
                reply.response_.headers_);
@@ -395,6 +448,10 @@
   reply.waiting_ = reader.getWaiting();
   reply.hold_ = Duration(reader.getHoldUs());
   reply.calls_failed_ = reader.getCallsFailed();
+  reply.stated_ = Read(reader.getStated());
+  if (reader.hasStartLimit()) {
+    reply.start_limit_ = Read(reader.getStartLimit());
+  }
   reply.response_.status_ = reader.getStatus();
   reply.response_.headers_ = ReadHeaders(reader.getHeaders());
   reply.response_.body_ = ToString(reader.getBody());
--- a/src/waiting/waiting.cc
+++ b/src/waiting/waiting.cc
@@ -11,10 +11,16 @@
       std::distance(queue.runs_.begin(), queue.runs_.lower_bound(run)));
   const auto free = static_cast<std::int64_t>(use.slots_) -
                     static_cast<std::int64_t>(use.running_);
-  if (ahead < free) return Duration::zero();
-  // Slots become free at a rate of slots / mean hold time.
-  return use.mean_hold_ * (ahead - free + 1) /
-         static_cast<std::int64_t>(use.slots_);
+  Duration wait = Duration::zero();
+  if (ahead >= free) {
+    // Slots become free at a rate of slots / mean hold time.
+    wait = use.mean_hold_ * (ahead - free + 1) /
+           static_cast<std::int64_t>(use.slots_);
+  }
+  if (!use.starts_per_second_) return wait;
+  const double starts = static_cast<double>(ahead + 1) - use.starts_now_;
+  return std::max(wait, Duration(static_cast<std::int64_t>(
+                            starts / *use.starts_per_second_ * 1e6)));
 }
 
 bool Enqueue(WaitingQueue& queue, const SlotUse& use, Timestamp now,
--- a/src/waiting/waiting.h
+++ b/src/waiting/waiting.h
@@ -43,6 +43,9 @@
   std::uint32_t slots_ = 0;
   std::uint32_t running_ = 0;
   Duration mean_hold_ = Duration::zero();  // time a run holds its slot
+  // Starts a second that are allowed, and those allowed at once; nullopt: any.
+  std::optional<double> starts_per_second_;
+  double starts_now_ = 0.0;
 };
 
 // Expected time until the run would start, behind the waiting runs that rank
