--- a/src/relaymodel/tests/rate_limit_tests.cc
+++ b/src/relaymodel/tests/rate_limit_tests.cc
@@ -8,9 +8,16 @@
 
 using std::chrono::seconds;
 
+double ServedShare(const FleetResult& result, const std::string& route) {
+  const FleetRouteResult& counts = result.routes_.at(route);
+  return static_cast<double>(counts.in_time_) /
+         static_cast<double>(counts.requested_);
+}
+
 class RateLimitTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RateLimitTests);
   CPPUNIT_TEST(BackendServersGetNoMoreThanTheyName);
+  CPPUNIT_TEST(LimitedServiceKeepsItsImportantRequests);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -114,6 +121,61 @@
       CPPUNIT_ASSERT_MESSAGE(text, result.rate_limit_use_ <= 1.0);
     }
   }
+
+  // A limited backend server has free slots and no queue. If only slots count,
+  // requests pile up at its host and expire there, important ones among them,
+  // while others could have taken them.
+  void LimitedServiceKeepsItsImportantRequests() {
+    struct Row {
+      const char* name_;
+      bool grown_;
+      FleetRateLimit limit_;
+      const char* route_;
+      double min_served_;
+    };
+    const Row rows[] = {
+        // Payments get 32 charges and 88 reads a second; 60 are left.
+        {"all servers of a service, half of the demand",
+         false,
+         {.service_ = "payments", .share_ = 1.0, .per_second_ = 15},
+         "deposit-charge",
+         0.95},
+        {"half of the servers, the others have free slots",
+         false,
+         {.service_ = "payments", .share_ = 0.5, .per_second_ = 5},
+         "deposit-charge",
+         0.95},
+        {"half of the servers, the least important requests",
+         false,
+         {.service_ = "payments", .share_ = 0.5, .per_second_ = 5},
+         "warranty-check",
+         0.95},
+        {"half of the servers, 66 hosts",
+         true,
+         {.service_ = "payments", .share_ = 0.5, .per_second_ = 5},
+         "deposit-charge",
+         0.95},
+        {"a called service, half of the demand",
+         false,
+         {.service_ = "dispatch", .share_ = 1.0, .per_second_ = 22},
+         "callout-booking",
+         0.95},
+    };
+    for (const Row& row : rows) {
+      FleetRateLimit limit = row.limit_;
+      limit.from_ = seconds(2);
+      limit.to_ = seconds(20);
+      const FleetResult result = RunFleet(BrolgaFleet(row.grown_), {},
+                                          {.length_ = seconds(20),
+                                           .rate_limits_ = {limit},
+                                           .base_factor_ = 0.6});
+      const double served = ServedShare(result, row.route_);
+      CPPUNIT_ASSERT_MESSAGE(
+          std::string(row.name_) + ": " + std::to_string(served),
+          served >= row.min_served_);
+      CPPUNIT_ASSERT_MESSAGE(row.name_, result.rate_limit_use_ <= 1.0);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitTests);
