Leaving: what an answer states binds host and entry

Callers see: a request that was sent to a backend server which had stated in its answers that it leaves, when its heartbeats had not said so, or could not be acknowledged.

Cause, the same class as the rate limit: what an answer says about its sender was not decoded; leaving was known from heartbeats and calls only.

The host stops at the answer, for good for this incarnation: no later heartbeat revokes it. The reply carries the statement to the entry, which keeps it as a leave notice and hands it to a relay of the host that restarts and believes a heartbeat. Notices of one incarnation are merged, so that a weaker one of a restarted relay does not replace a stronger one.

--- a/src/relay/internal/backend_notice.cc
+++ b/src/relay/internal/backend_notice.cc
@@ -94,6 +94,7 @@
   } else {
     OnNamedRateLimit(step, run, notice.rate_limit_);
   }
+  if (notice.leaving_) OnBackendStatedLeaving(step);
 }
 
 void AdoptRateLimit(RelayStep& step, const RunOrder& order) {
@@ -114,7 +115,8 @@
   const LocalBackend& backend = step.state_.backend_;
   if (!IsCurrent(backend, run)) return {};
   return {.started_at_ms_ = backend.started_at_ms_,
-          .rate_limit_ = backend.rate_limit_.per_second_};
+          .rate_limit_ = backend.rate_limit_.per_second_,
+          .leaving_ = backend.stated_leaving_};
 }
 
 bool IsStartAllowed(RelayStep& step) {
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -206,6 +206,7 @@
   request.tried_.push_back(peer.address_);
   step.state_.sends_[request.send_id_] = {.request_id_ = request.request_id_,
                                           .peer_ = peer.address_,
+                                          .instance_ = peer.status_.instance_,
                                           .route_ = request.route_,
                                           .sent_at_ = step.now_};
   // The peer's silence counts from the first request that awaits a reply.
@@ -599,7 +600,7 @@
   Peer& peer = EnsurePeer(step, send.peer_);
   if (peer.in_flight_ > 0) --peer.in_flight_;
   RecordReportedLoad(peer, reply, send, step.now_);
-  RecordStatement(peer, reply.stated_);
+  RecordStatement(step, peer, send.instance_, reply.stated_);
   RecordRunOutcome(step, peer, IsFailure(reply));
   const auto open = step.state_.requests_.find(send.request_id_);
   // Only the reply to the current send counts; earlier sends were abandoned.
--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -80,6 +80,7 @@
                    "new incarnation");
     step.state_.run_stats_.clear();
     backend.rate_limit_ = {};
+    backend.stated_leaving_ = false;
     step.state_.recent_hold_ = Duration::zero();
     backend.state_ = BackendState::kUnknown;
   }
@@ -92,8 +93,9 @@
   backend.received_at_ = step.now_;
   step.state_.crash_evidence_.first_break_at_.reset();
   if (!replaced) step.state_.crash_evidence_.ended_ = {};
-  const BackendState state =
-      heartbeat.draining_ ? BackendState::kDraining : BackendState::kReady;
+  const BackendState state = heartbeat.draining_ || backend.stated_leaving_
+                                 ? BackendState::kDraining
+                                 : BackendState::kReady;
   if (state != backend.state_ || replaced || resized) {
     ChangeState(step, state, replaced ? "new instance" : "heartbeat");
   }
@@ -123,11 +125,22 @@
                backend.sequence_)) {
     return;
   }
+  step.state_.backend_.stated_leaving_ |= left.sequence_ == kAnySequence;
   ChangeState(step, left.gone_ ? BackendState::kGone : BackendState::kDraining,
               "a peer knows that it left");
   RefuseWaiting(step, NotRunReason::kDraining);
 }
 
+void OnBackendStatedLeaving(RelayStep& step) {
+  LocalBackend& backend = step.state_.backend_;
+  if (backend.stated_leaving_) return;
+  backend.stated_leaving_ = true;
+  if (backend.state_ == BackendState::kGone) return;
+  ChangeState(step, BackendState::kDraining,
+              "its answer states that it leaves");
+  RefuseWaiting(step, NotRunReason::kDraining);
+}
+
 void OnBackendUnreachable(RelayStep& step) {
   if (step.state_.backend_.state_ != BackendState::kReady) return;
   ChangeState(step, BackendState::kUnreachable, "connection refused");
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -100,6 +100,18 @@
   peer.status_ = std::move(status);
 }
 
+// Keeps the strongest notice of the latest incarnation: a relay that has
+// restarted may know less than the notice that is kept.
+void RecordLeaveNotice(Peer& peer, BackendLeft left) {
+  if (peer.left_ && left.started_at_ms_ < peer.left_->started_at_ms_) return;
+  if (peer.left_ && left.started_at_ms_ == peer.left_->started_at_ms_ &&
+      left.instance_ == peer.left_->instance_) {
+    left.sequence_ = std::max(left.sequence_, peer.left_->sequence_);
+    left.gone_ |= peer.left_->gone_;
+  }
+  peer.left_ = std::move(left);
+}
+
 // Remembers that a peer's backend server is draining or gone, and corrects
 // later statuses of the same incarnation. A sidecar that has restarted doesn't
 // know what its backend server announced before, so a late heartbeat can make
@@ -109,10 +121,10 @@
   const bool is_leaving = status.backend_ == BackendState::kDraining ||
                           status.backend_ == BackendState::kGone;
   if (is_leaving) {
-    peer.left_ = {.instance_ = status.instance_,
-                  .started_at_ms_ = status.backend_started_at_ms_,
-                  .sequence_ = status.backend_sequence_,
-                  .gone_ = status.backend_ == BackendState::kGone};
+    RecordLeaveNotice(peer, {.instance_ = status.instance_,
+                             .started_at_ms_ = status.backend_started_at_ms_,
+                             .sequence_ = status.backend_sequence_,
+                             .gone_ = status.backend_ == BackendState::kGone});
     return;
   }
   if (!peer.left_ || status.backend_ != BackendState::kReady) return;
@@ -285,7 +297,9 @@
                                                   : state.backend_.service_,
       .instance_ = state.backend_.instance_,
       .backend_started_at_ms_ = state.backend_.started_at_ms_,
-      .backend_sequence_ = state.backend_.sequence_,
+      .backend_sequence_ = state.backend_.stated_leaving_
+                               ? kAnySequence
+                               : state.backend_.sequence_,
       .backend_ = state.backend_.state_,
       .slots_ = state.backend_.slots_,
       .start_limit_ = FindStartLimit(step),
@@ -375,12 +389,26 @@
   if (!peer.connected_ && !peer.connecting_) Connect(step, peer);
 }
 
-void RecordStatement(Peer& peer, const BackendStatement& stated) {
+void RecordStatement(RelayStep& step, Peer& peer, const std::string& instance,
+                     const BackendStatement& stated) {
   if (stated.started_at_ms_ <
       std::max<std::int64_t>(1, peer.stated_.started_at_ms_)) {
     return;
   }
   peer.stated_ = stated;
+  if (!stated.leaving_) return;
+  const BackendLeft left{.instance_ = instance,
+                         .started_at_ms_ = stated.started_at_ms_,
+                         .sequence_ = kAnySequence};
+  RecordLeaveNotice(peer, left);
+  HostStatus& status = peer.status_;
+  if (status.backend_ != BackendState::kReady ||
+      !HasLeft(left, status.instance_, status.backend_started_at_ms_,
+               status.backend_sequence_)) {
+    return;
+  }
+  status.backend_ = BackendState::kDraining;
+  LogPeer(step, peer, "its backend server states that it leaves");
 }
 
 void OnPeerConnected(RelayStep& step, const std::string& address) {
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -42,7 +42,8 @@
 std::vector<PlacementCandidate> FindCandidates(RelayStep& step,
                                                const OpenRequest& request);
 // Records what a peer's backend server has stated in an answer.
-void RecordStatement(Peer& peer, const BackendStatement& stated);
+void RecordStatement(RelayStep& step, Peer& peer, const std::string& instance,
+                     const BackendStatement& stated);
 // Updates the failure rate of a peer's backend server with one run.
 void RecordRunOutcome(RelayStep& step, Peer& peer, bool failed);
 
@@ -98,6 +99,8 @@
 void RecordLimitedStart(RelayStep& step);
 // The limit on starts that follows from the rate limit, if there is one.
 std::optional<StartLimit> FindStartLimit(const RelayStep& step);
+// The local backend server's answers state that it leaves.
+void OnBackendStatedLeaving(RelayStep& step);
 // No connection to the backend server could be opened.
 void OnBackendUnreachable(RelayStep& step);
 // Nothing listens at the backend server's address: it has ended.
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -31,6 +31,7 @@
 struct BackendStatement {
   std::int64_t started_at_ms_ = 0;  // of the incarnation; 0: none has answered
   std::optional<double> rate_limit_;  // requests a second from all hosts
+  bool leaving_ = false;
 };
 
 // Limit on the starts of runs that follows from the rate limit of a backend
@@ -55,7 +56,8 @@
   std::string service_;
   std::string instance_;                    // of the backend server
   std::int64_t backend_started_at_ms_ = 0;  // orders incarnations
-  std::uint64_t backend_sequence_ = 0;      // of its latest heartbeat
+  // Of its latest heartbeat, or kAnySequence.
+  std::uint64_t backend_sequence_ = 0;
   BackendState backend_ = BackendState::kUnknown;
   std::uint32_t slots_ = 0;
   std::optional<StartLimit> start_limit_;
@@ -175,14 +177,19 @@
   std::uint64_t number_ = 0;
 };
 
+// In place of a heartbeat's sequence number: no later heartbeat of the
+// incarnation revokes what was announced.
+inline constexpr std::uint64_t kAnySequence = UINT64_MAX;
+
 // Notice that an incarnation of a backend server has announced that it drains,
 // or is gone. Peers keep it and send it back to a node that restarts and would
 // otherwise treat a late heartbeat as current.
 struct BackendLeft {
   std::string instance_;
   std::int64_t started_at_ms_ = 0;
-  std::uint64_t sequence_ = 0;  // of the heartbeat that announced it
-  bool gone_ = false;           // serves no more, whatever its heartbeats say
+  // Of the heartbeat that announced it; kAnySequence: an answer did.
+  std::uint64_t sequence_ = 0;
+  bool gone_ = false;  // serves no more, whatever its heartbeats say
 };
 
 // An incarnation of a backend server ended while it ran a request with this
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -175,6 +175,7 @@
 struct OpenSend {
   std::uint64_t request_id_ = 0;
   std::string peer_;
+  std::string instance_;
   std::string route_;
   Timestamp sent_at_;
 };
@@ -344,6 +345,8 @@
   std::uint32_t slots_ = 0;
   Timestamp received_at_;  // of the last heartbeat
   NamedRateLimit rate_limit_;
+  // The incarnation's answers state that it leaves, which is final.
+  bool stated_leaving_ = false;
 };
 
 // Demand for one route that arrives at this node.
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -59,6 +59,7 @@
 struct BackendStatement {
   startedAtMs @0 :Int64;
   rateLimit @1 :Float64 = -1;  # negative: none
+  leaving @2 :Bool;
 }
 
 struct StartLimit {
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -142,11 +142,13 @@
   linkwire::BackendStatement::Builder builder = init();
   builder.setStartedAtMs(statement.started_at_ms_);
   if (statement.rate_limit_) builder.setRateLimit(*statement.rate_limit_);
+  builder.setLeaving(statement.leaving_);
 }
 
 BackendStatement Read(linkwire::BackendStatement::Reader reader) {
   return {.started_at_ms_ = reader.getStartedAtMs(),
-          .rate_limit_ = ReadUnlessNegative(reader.getRateLimit())};
+          .rate_limit_ = ReadUnlessNegative(reader.getRateLimit()),
+          .leaving_ = reader.getLeaving()};
 }
 
 void Write(linkwire::Message::Builder message, const HostStatus& status) {
