Soak, fuzz: rate limits and leaving stated in answers

The backend server of the stand-ins names a rate limit or states that it leaves in its answers alone, and audits the requests of hosts that have passed on such an answer half a second before. The soak does both all the time, beside all other faults, from a generator of its own, and checks two more rules. The fuzz target of the adapter reads the two headers.

Repeats that are not held back survive: they are counted, and only delay what follows.

--- a/fuzz/fuzz_platform.cc
+++ b/fuzz/fuzz_platform.cc
@@ -1,10 +1,12 @@
 // Fuzzes the decoders of the platform adapter and the parser of its settings.
 // The first byte of the input selects one of them.
 
+#include <cmath>
 #include <cstdlib>
 
 #include "platform/document.h"
 #include "platform/endpoints.h"
+#include "platform/platform_protocol.h"
 #include "platform/sidecar_settings.h"
 #include "platform/store_records.h"
 
@@ -13,7 +15,7 @@
   using namespace jujubefront::platform;
   if (size == 0) return 0;
   const std::string bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
-  switch (data[0] % 5) {
+  switch (data[0] % 6) {
     case 0:
       if (const auto table = DecodeDocument(bytes)) {
         if (table->version_ == 0) std::abort();
@@ -34,6 +36,18 @@
     case 3:
       DecodeNewestPage(bytes);
       break;
+    case 4: {
+      const jujubefront::BackendNotice notice =
+          MakePlatformProtocol()
+              .read_response_({.status_ = 200,
+                               .headers_ = {{"Server-Limit", bytes},
+                                            {"Server-Leaving", bytes}}})
+              .notice_;
+      const double limit = notice.rate_limit_.value_or(0.0);
+      if (!std::isfinite(limit) || limit < 0.0) std::abort();
+      if (notice.rate_limit_ && notice.rate_limit_unreadable_) std::abort();
+      break;
+    }
     default:
       ParseSidecarSettings(bytes);
   }
--- a/src/relay/tests/rate_limit_tests.cc
+++ b/src/relay/tests/rate_limit_tests.cc
@@ -170,29 +170,43 @@
 
   // A new process on the host knows no limit, while entries that have passed on
   // an answer with it are still bound. Requests that waited for the restart
-  // arrive at once. A new incarnation of the backend server has no limit.
+  // arrive at once, before any answer. A new incarnation has no limit.
   void RestartedRelayLearnsTheLimitFromEntries() {
     struct Row {
       const char* name_;
       BackendStatement known_;  // by the entries
       BackendNotice answers_;
+      std::size_t first_;  // started of the first orders
       int max_;
     };
     const Row rows[] = {
         {"same incarnation",
          {.started_at_ms_ = 1, .rate_limit_ = 5.0},
          {.rate_limit_ = 5.0},
+         0,
          22},
-        {"ended meanwhile", {.started_at_ms_ = 1, .rate_limit_ = 5.0}, {}, 400},
+        {"ended meanwhile",
+         {.started_at_ms_ = 1, .rate_limit_ = 5.0},
+         {},
+         0,
+         400},
         {"another incarnation",
          {.started_at_ms_ = 9, .rate_limit_ = 5.0},
          {},
+         2,
          400},
     };
     for (const Row& row : rows) {
       RelayHarness harness;
       harness.LoadTable();
       harness.ReceiveHeartbeat();
+      SendOrder(harness, 1, row.known_);
+      SendOrder(harness, 2, row.known_);
+      const auto first = harness.Take<StartRun>();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.first_, first.size());
+      for (const StartRun& run : first) {
+        AnswerRun(harness, run.run_id_, row.answers_);
+      }
       const int starts =
           CountStarts(harness, kWindow, row.answers_, false, row.known_);
       CPPUNIT_ASSERT_MESSAGE(row.name_, starts <= row.max_);
--- a/standins/platform/backend_standin.cc
+++ b/standins/platform/backend_standin.cc
@@ -13,6 +13,12 @@
 
 }  // namespace
 
+Timestamp SteadyNow() {
+  return std::chrono::time_point_cast<Duration>(
+      Timestamp::clock::time_point(std::chrono::duration_cast<Duration>(
+          std::chrono::steady_clock::now().time_since_epoch())));
+}
+
 BackendStandin::BackendStandin(BackendStandinOptions options)
     : options_(std::move(options)),
       control_({},
@@ -50,6 +56,8 @@
   draining_ = false;
   drain_sequence_ = 0;
   drain_acknowledged_ = false;
+  limit_audit_ = {};
+  states_leaving_ = false;
   const bool listening = Listen();
   SendHeartbeat();
   return listening;
@@ -102,12 +110,18 @@
   const std::string trace_id = trace == nullptr ? "" : *trace;
   const std::string* expected =
       FindHeader(request.headers_, "X-Expect-Instance");
+  if (counts_(trace_id)) {
+    rate_limit_use_ =
+        std::max(rate_limit_use_, limit_audit_.CountArrival(SteadyNow()));
+  }
   int refusal = reject_status_;
   if (expected != nullptr && *expected != options_.instance_) refusal = 421;
   if (refusal != 0) {
-    return server_->Answer(id, {.status_ = refusal,
-                                .headers_ = {{"X-Request-Id", trace_id},
-                                             {"X-Not-Executed", "1"}}});
+    Http1Response answer{
+        .status_ = refusal,
+        .headers_ = {{"X-Request-Id", trace_id}, {"X-Not-Executed", "1"}}};
+    AddStatements(answer.headers_);
+    return server_->Answer(id, std::move(answer));
   }
   ++runs_[trace_id];
   on_run_(trace_id);
@@ -123,11 +137,24 @@
 }
 
 void BackendStandin::Answer(std::uint64_t id, const std::string& trace) {
-  server_->Answer(id, {.status_ = 200,
+  Http1Response answer{.status_ = 200,
                        .headers_ = {{"X-Request-Id", trace},
                                     {"X-Server-Stamp", options_.instance_},
                                     {"X-Server-Load", "1,0,16"}},
-                       .body_ = trace + std::string(600, 'b')});
+                       .body_ = trace + std::string(600, 'b')};
+  AddStatements(answer.headers_);
+  server_->Answer(id, std::move(answer));
+}
+
+void BackendStandin::AddStatements(HeaderList& headers) {
+  if (const auto limit = limit_audit_.NameInAnswer(SteadyNow())) {
+    headers.emplace_back("Server-Limit", std::to_string(*limit));
+  }
+  if (states_leaving_) headers.emplace_back("Server-Leaving", "1");
+}
+
+void BackendStandin::SetRateLimit(std::optional<double> per_second) {
+  limit_audit_.SetLimit(SteadyNow(), per_second);
 }
 
 }  // namespace jujubefront
--- a/standins/platform/backend_standin.h
+++ b/standins/platform/backend_standin.h
@@ -10,9 +10,12 @@
 
 #include "http1/http1_client.h"
 #include "http1/http1_server.h"
+#include "relaymodel/rate_limit_audit.h"
 
 namespace jujubefront {
 
+Timestamp SteadyNow();
+
 // Configures a stand-in for a backend server.
 struct BackendStandinOptions {
   std::string instance_;
@@ -49,6 +52,17 @@
   void RejectWith(int status) { reject_status_ = status; }
   // Runs each request, then closes its connection instead of answering.
   void LoseAnswers(bool lose) { lose_answers_ = lose; }
+  // From now on the answers name this rate limit; nullopt: none.
+  void SetRateLimit(std::optional<double> per_second);
+  // Sets which requests count against the rate limit, by their ids.
+  void SelectCounted(std::function<bool(const std::string& trace_id)> counts) {
+    counts_ = std::move(counts);
+  }
+  // Largest use of a rate limit so far, see RateLimitAudit::CountArrival.
+  double rate_limit_use() const { return rate_limit_use_; }
+  // From now on the answers state that this instance leaves; its heartbeats
+  // do not.
+  void StateLeaving() { states_leaving_ = true; }
   // Crashes when it begins to run a request whose target has this prefix; a
   // new instance replaces it after the given time.
   void CrashOn(std::string target, Duration down_time) {
@@ -66,6 +80,8 @@
 
  private:
   void OnRequest(std::uint64_t id, const Http1Request& request);
+  // Adds what the answer states about this instance.
+  void AddStatements(HeaderList& headers);
   void Answer(std::uint64_t id, const std::string& trace);
   void Crash();
 
@@ -79,6 +95,12 @@
   bool draining_ = false;
   int reject_status_ = 0;
   bool lose_answers_ = false;
+  RateLimitAudit limit_audit_;  // of the current instance
+  std::function<bool(const std::string&)> counts_ = [](const auto&) {
+    return true;
+  };
+  double rate_limit_use_ = 0.0;
+  bool states_leaving_ = false;
   std::string crash_target_;
   Duration down_time_ = Duration::zero();
   int crashes_ = 0;
--- a/standins/soak/soak_checks.cc
+++ b/standins/soak/soak_checks.cc
@@ -82,6 +82,33 @@
     }
   }
 
+  // Binds the host that passed on the answer, unless it was restarted or paused
+  // since.
+  void CheckLeaving(
+      const LeavingObservation& leaving,
+      const std::map<std::string, const ClientObservation*>& requests) {
+    for (const RunObservation& run : seen_.runs_) {
+      if (run.instance_ != leaving.instance_) continue;
+      const auto request = requests.find(run.id_);
+      if (request == requests.end()) continue;
+      const ClientObservation& sent = *request->second;
+      if (sent.host_ != leaving.host_) continue;
+      const Duration after = sent.sent_at_ - leaving.at_;
+      if (after <= bounds_.drain_slack_) continue;
+      if (OverlapsOutage(leaving.host_, leaving.at_, run.at_)) continue;
+      Report(SoakRule::kNoRunAfterLeaving, run.id_,
+             run.instance_ + ", sent " + Milliseconds(after) + " after");
+    }
+  }
+
+  void CheckRateLimits() {
+    for (const auto& [backend, use] : seen_.rate_limit_uses_) {
+      if (use <= 1.0) continue;
+      Report(SoakRule::kRateLimit, backend,
+             std::to_string(use) + " of what it accepts");
+    }
+  }
+
   void CheckCrashes() {
     const auto& crashes = seen_.crashes_;
     if (crashes.size() < bounds_.min_crashes_) return;
@@ -143,6 +170,10 @@
       return "refused without Retry-After";
     case SoakRule::kNoRunAfterDrain:
       return "run after the drain was acknowledged";
+    case SoakRule::kNoRunAfterLeaving:
+      return "run after an answer stated that the backend server leaves";
+    case SoakRule::kRateLimit:
+      return "more requests than the backend server accepts";
     case SoakRule::kCrashingContent:
       return "sent on though backend servers ended by it";
     case SoakRule::kNoFalseSuspicion:
@@ -172,6 +203,14 @@
   }
   for (const auto& drain : observations.drains_) checker.CheckDrain(drain);
   for (const auto& end : observations.ends_) checker.CheckEnd(end);
+  std::map<std::string, const ClientObservation*> requests;
+  for (const auto& request : observations.requests_) {
+    requests[request.id_] = &request;
+  }
+  for (const auto& leaving : observations.leavings_) {
+    checker.CheckLeaving(leaving, requests);
+  }
+  checker.CheckRateLimits();
   checker.CheckCrashes();
   checker.CheckVersions();
   return std::move(checker.violations_);
--- a/standins/soak/soak_checks.h
+++ b/standins/soak/soak_checks.h
@@ -44,6 +44,14 @@
   Timestamp acknowledged_at_;
 };
 
+// A client received, from the relay of a host, an answer in which a backend
+// server states that it leaves.
+struct LeavingObservation {
+  std::size_t host_ = 0;
+  std::string instance_;
+  Timestamp at_;
+};
+
 // An interval in which the process of an entry host could not answer: it was
 // paused, killed, starting, or past the end of a planned stop.
 struct HostOutage {
@@ -74,7 +82,9 @@
   std::vector<ClientObservation> requests_;
   std::vector<RunObservation> runs_;
   std::vector<DrainObservation> drains_;
-  std::vector<CrashObservation> crashes_;  // ordered by time
+  std::vector<LeavingObservation> leavings_;
+  std::map<std::string, double> rate_limit_uses_;  // by backend server
+  std::vector<CrashObservation> crashes_;          // ordered by time
   std::vector<HostOutage> outages_;
   std::vector<ProcessEnd> ends_;
   std::vector<VersionObservation> versions_;
@@ -106,6 +116,8 @@
   kAnsweredInTime,
   kRetryAfterPresent,
   kNoRunAfterDrain,
+  kNoRunAfterLeaving,
+  kRateLimit,
   kCrashingContent,
   kNoFalseSuspicion,
   kPlannedStop,
--- a/standins/soak/soak_run.cc
+++ b/standins/soak/soak_run.cc
@@ -5,6 +5,7 @@
 #include <QDir>
 #include <QFile>
 #include <QTimer>
+#include <array>
 #include <fstream>
 #include <set>
 
@@ -37,6 +38,14 @@
 // sender keeps on for kEndlessLimit unless the relay closes the connection.
 constexpr Duration kEndlessInterval = std::chrono::milliseconds(400);
 constexpr Duration kEndlessLimit = std::chrono::seconds(1);
+// Backend servers that name a rate limit for a while, or state in their answers
+// alone that they leave and are then replaced.
+constexpr Duration kStatementInterval = std::chrono::milliseconds(900);
+constexpr Duration kLimitLength = std::chrono::seconds(7);
+constexpr Duration kLeavingLength = std::chrono::milliseconds(1500);
+constexpr std::array kLimits = {0.0, 0.4, 3.0, 8.0};
+// The rate limit binds a host this long after it has passed on an answer.
+constexpr Duration kLimitBindsAfter = std::chrono::milliseconds(500);
 // First character of the ids of requests with the crashing content, and of all
 // others.
 constexpr char kCrashId = 'c';
@@ -48,11 +57,7 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
-Timestamp Now() {
-  return std::chrono::time_point_cast<Duration>(
-      Timestamp::clock::time_point(std::chrono::duration_cast<Duration>(
-          std::chrono::steady_clock::now().time_since_epoch())));
-}
+Timestamp Now() { return SteadyNow(); }
 
 pid_t PidOf(const SidecarHost& host) {
   return static_cast<pid_t>(host.process_->processId());
@@ -98,6 +103,8 @@
   Duration paused_ = Duration::zero();  // since the stop was requested
   std::optional<std::size_t> outage_;   // open outage, by index
   std::uint64_t instances_ = 0;
+  // When its current process first passed on a rate limit, by instance.
+  std::map<std::string, Timestamp> limits_passed_on_;
 };
 
 class Soak : public QObject {
@@ -106,6 +113,7 @@
       : options_(options),
         random_{MixBits(options.plan_.seed_)},
         endless_random_{MixBits(~options.plan_.seed_)},
+        statement_random_{MixBits(MixBits(~options.plan_.seed_))},
         hosts_({.program_ = options.program_,
                 .hosts_ = options.plan_.hosts_,
                 .trace_sample_ = 1}),
@@ -134,6 +142,7 @@
     send_timer_.stop();
     crash_timer_.stop();
     endless_timer_.stop();
+    statement_timer_.stop();
     // Requests in flight end by their deadlines.
     WaitUntil(std::chrono::seconds(2), [this] { return open_.empty(); });
     Finish();
@@ -157,6 +166,9 @@
     state.backend_->Listen(host.configured_backend_);
     host.backend_->SetHeartbeatAddress(host.configured_backend_);
     host.backend_->SetWork(std::chrono::milliseconds(5));
+    host.backend_->SelectCounted([this, index](const std::string& id) {
+      return IsBoundByLimit(id, this->host(index).backend_->instance());
+    });
     host.backend_->CrashOn(kCrashTarget, kCrashDownTime);
     host.backend_->OnRun([this, index](const std::string& id) {
       if (id.starts_with(kCrashId)) seen_.crashes_.push_back({id, Now()});
@@ -226,6 +238,9 @@
     QObject::connect(&endless_timer_, &QTimer::timeout, this,
                      [this] { SendEndless(); });
     endless_timer_.start(Millis(kEndlessInterval));
+    QObject::connect(&statement_timer_, &QTimer::timeout, this,
+                     [this] { ChangeStatements(); });
+    statement_timer_.start(Millis(kStatementInterval));
     QObject::connect(&version_timer_, &QTimer::timeout, this,
                      [this] { Probe(); });
     version_timer_.start(Millis(kVersionPoll));
@@ -270,6 +285,54 @@
     states_[index].backend_->AnswerWithoutEnd(part, kEndlessLimit);
   }
 
+  // One backend server begins to name a rate limit, or states that it leaves.
+  // Draws from a generator of its own, see SendEndless.
+  void ChangeStatements() {
+    if (faults_over_) return;
+    const std::size_t index = NextBelow(statement_random_, states_.size());
+    const std::size_t drawn = NextBelow(statement_random_, kLimits.size() + 2);
+    BackendStandin& backend = *host(index).backend_;
+    const std::string instance = backend.instance();
+    if (drawn >= kLimits.size()) {
+      ++result_.stated_leaving_;
+      backend.StateLeaving();
+      return RunAfter(kLeavingLength, [this, index, instance] {
+        if (host(index).backend_->instance() == instance) Replace(index);
+      });
+    }
+    ++result_.named_limits_;
+    backend.SetRateLimit(kLimits.at(drawn));
+    RunAfter(kLimitLength, [this, index, instance] {
+      BackendStandin& same = *host(index).backend_;
+      if (same.instance() == instance) same.SetRateLimit(std::nullopt);
+    });
+  }
+
+  // Whether the host of a request is bound by the rate limit of an instance.
+  bool IsBoundByLimit(const std::string& id, const std::string& instance) {
+    if (!id.starts_with(kOrdinaryId)) return false;
+    const std::uint64_t number = std::stoull(id.substr(1));
+    if (number > seen_.requests_.size()) return false;
+    const auto& passed_on =
+        states_[seen_.requests_[number - 1].host_].limits_passed_on_;
+    const auto found = passed_on.find(instance);
+    return found != passed_on.end() &&
+           Now() - found->second >= kLimitBindsAfter;
+  }
+
+  // Records what a backend server states in an answer that a host passed on.
+  void RecordStatements(std::size_t index, const Http1Response& response) {
+    const std::string* instance =
+        FindHeader(response.headers_, "X-Server-Stamp");
+    if (instance == nullptr) return;
+    if (FindHeader(response.headers_, "Server-Limit") != nullptr) {
+      states_[index].limits_passed_on_.try_emplace(*instance, Now());
+    }
+    if (FindHeader(response.headers_, "Server-Leaving") != nullptr) {
+      seen_.leavings_.push_back({index, *instance, Now()});
+    }
+  }
+
   // Sends a request and returns its number.
   std::uint64_t Send(std::size_t index, char kind, const std::string& target) {
     const std::uint64_t remaining_ms = 200 + NextBelow(random_, 1200);
@@ -292,6 +355,7 @@
     ClientObservation& request = seen_.requests_[number - 1];
     request.ended_at_ = Now();
     if (response != nullptr) {
+      RecordStatements(request.host_, *response);
       const std::string* id = FindHeader(response->headers_, "X-Request-Id");
       request.status_ = response->status_;
       request.answer_matches_ =
@@ -526,6 +590,7 @@
   }
 
   void OpenOutage(std::size_t index, Timestamp from) {
+    states_[index].limits_passed_on_.clear();
     if (states_[index].outage_) return;
     states_[index].outage_ = seen_.outages_.size();
     seen_.outages_.push_back({index, from, Timestamp::max()});
@@ -604,6 +669,7 @@
       states_[i].link_->SilenceNew({});
       host(i).backend_->RejectWith(0);
       host(i).backend_->LoseAnswers(false);
+      host(i).backend_->SetRateLimit(std::nullopt);
     }
     const Timestamp faults_ended_at = Now();
     std::string missing;
@@ -649,6 +715,11 @@
     bounds.drain_slack_ += result_.longest_stall_;
     bounds.stop_limit_ += result_.longest_stall_;
     result_.runs_ = seen_.runs_.size();
+    for (SidecarHost& host : hosts_.hosts()) {
+      seen_.rate_limit_uses_[host.ip_] = host.backend_->rate_limit_use();
+      result_.rate_limit_use_ =
+          std::max(result_.rate_limit_use_, host.backend_->rate_limit_use());
+    }
     for (SoakViolation& found : CheckSoak(seen_, bounds)) {
       result_.violations_.push_back(std::move(found));
     }
@@ -691,6 +762,7 @@
   SoakOptions options_;
   RandomState random_;
   RandomState endless_random_;
+  RandomState statement_random_;
   SidecarHosts hosts_;
   std::vector<HostState> states_;
   SoakObservations seen_;
@@ -698,6 +770,7 @@
   QTimer send_timer_;
   QTimer crash_timer_;
   QTimer endless_timer_;
+  QTimer statement_timer_;
   QTimer version_timer_;
   QTimer stall_timer_;
   std::set<std::uint64_t> open_;
--- a/standins/soak/soak_run.h
+++ b/standins/soak/soak_run.h
@@ -28,6 +28,9 @@
   // Messages that were sent with a part without end.
   int endless_requests_ = 0;
   int endless_responses_ = 0;
+  int named_limits_ = 0;
+  int stated_leaving_ = 0;
+  double rate_limit_use_ = 0.0;  // largest, see RateLimitAudit
   std::size_t runs_ = 0;
   std::uint64_t logged_runs_ = 0;              // in the logs of the relays
   Duration longest_stall_ = Duration::zero();  // of the event loop of the test
--- a/standins/soak/soak_tests.cc
+++ b/standins/soak/soak_tests.cc
@@ -39,6 +39,8 @@
                      .retry_after_ = true}};
   seen.runs_ = {{"read", "i-1", At(10)}, {"book", "i-1", At(10)}};
   seen.drains_ = {{"i-1", At(100)}};
+  seen.leavings_ = {{0, "i-1", At(50)}};
+  seen.rate_limit_uses_ = {{"i-1", 0.8}};
   seen.ends_ = {{.asked_to_stop_ = true, .took_ = milliseconds(1600)},
                 {.killed_ = true, .exit_code_ = 9, .crashed_ = true}};
   seen.versions_ = {{0, 1, At(0), 4}, {0, 1, At(200), 5}, {0, 2, At(400), 4}};
@@ -89,6 +91,10 @@
          [](auto& seen) { seen.requests_[1].status_ = 0; }},
         {SoakRule::kNoRunAfterDrain,
          [](auto& seen) { seen.drains_[0].acknowledged_at_ = At(-500); }},
+        {SoakRule::kNoRunAfterLeaving,
+         [](auto& seen) { seen.leavings_[0].at_ = At(-500); }},
+        {SoakRule::kRateLimit,
+         [](auto& seen) { seen.rate_limit_uses_["i-1"] = 1.1; }},
         {SoakRule::kCrashingContent,
          [](auto& seen) {
            for (const int at : {0, 100, 200, 4300, 5000, 6000, 7000}) {
