--- a/src/relaymodel/experiment.cc
+++ b/src/relaymodel/experiment.cc
@@ -23,6 +23,7 @@
 // Crashes of backend servers after which a content must not run.
 constexpr std::size_t kCrashesThatCondemn = 3;
 constexpr Duration kRestartTime = std::chrono::seconds(1);
+constexpr Duration kInForcePoll = std::chrono::milliseconds(20);
 // Goodput has recovered at this share of its level before the surge.
 constexpr double kRecoveredShare = 0.95;
 
@@ -100,6 +101,18 @@
     for (const FleetRateLimit& limit : options_.rate_limits_) {
       SetRateLimit(limit);
     }
+    for (const FleetDocument& document : options_.documents_) {
+      simulator_.At(begin_ + document.at_, [this, &document] {
+        simulator_.PutDocument(document.version_);
+        if (&document == &options_.documents_.back()) {
+          AwaitInForce(document.version_, simulator_.now());
+        }
+      });
+    }
+    for (const FleetStoreRestore& restore : options_.store_restores_) {
+      simulator_.At(begin_ + restore.at_,
+                    [this, &restore] { simulator_.RestoreStore(restore); });
+    }
     for (const FleetRestart& restart : options_.restarts_) {
       simulator_.At(begin_ + restart.at_,
                     [this, &restart] { Restart(restart); });
@@ -238,6 +251,15 @@
     });
   }
 
+  void AwaitInForce(std::uint64_t version, Timestamp since) {
+    if (simulator_.IsInForce(version)) {
+      result_.document_delay_ = simulator_.now() - since;
+      return;
+    }
+    simulator_.At(simulator_.now() + kInForcePoll,
+                  [this, version, since] { AwaitInForce(version, since); });
+  }
+
   void EvaluateCrashing() {
     for (std::size_t i = 0; i < result_.crashing_.size(); ++i) {
       FleetCrashingResult& result = result_.crashing_[i];
@@ -358,6 +380,7 @@
     }
     result_.recovery_seconds_ = RecoverySeconds();
     EvaluateCrashing();
+    result_.store_calls_ = simulator_.store_calls();
     result_.rate_limit_use_ = simulator_.rate_limit_use();
     result_.harmless_refused_ = simulator_.harmless_refused();
     result_.notices_ = simulator_.notices().notices_;
--- a/src/relaymodel/fleet_simulator.cc
+++ b/src/relaymodel/fleet_simulator.cc
@@ -242,6 +242,12 @@
         [&simulator = simulator_, id, to_opener, target, kept] {
           const Connection& at = simulator.connections_[id - 1];
           if (!at.open_) return;
+          if (const auto* text = std::get_if<TableText>(kept.get())) {
+            return simulator.Feed(
+                target, TableRead{.from_peer_ = true,
+                                  .table_ = simulator.MakeTable(text->version_),
+                                  .text_ = text->text_});
+          }
           LinkReceived received{.message_ = std::move(*kept)};
           if (to_opener) {
             received.peer_ = AddressOf(at.to_);
@@ -313,18 +319,16 @@
                                              : BackendProbeResult::kRefused;
     FeedLater(kBackendLatency, BackendProbed{.probe_ = probe});
   }
-  void operator()(ReadTable&) const {
-    FeedLater(kStoreLatency,
-              TableRead{.table_ = simulator_.MakeTable(), .text_ = "t"});
-    FeedLater(kStoreLatency, TableOffset{.next_ = 1});
-  }
+  void operator()(ReadTable&) const { simulator_.ReadNewestDocument(index_); }
   void operator()(AwaitTable& effect) const {
-    FeedLater(effect.wait_, TableOffset{.next_ = 1});
+    simulator_.PollDocuments(index_, effect);
   }
   void operator()(AnnounceNode&) const {
+    ++simulator_.store_calls_;
     FeedLater(kStoreLatency, NodeAnnounced{});
   }
   void operator()(ReadNodes&) const {
+    ++simulator_.store_calls_;
     NodesRead read;
     for (const auto& [address, index] : simulator_.by_address_) {
       read.addresses_.push_back(address);
@@ -332,6 +336,7 @@
     FeedLater(kStoreLatency, std::move(read));
   }
   void operator()(ReadCharges&) const {
+    ++simulator_.store_calls_;
     ChargesRead read;
     for (const auto& [content, saved] : simulator_.saved_charges_) {
       for (ContentCharge charge : saved.charges_) {
@@ -678,9 +683,82 @@
   return crossings;
 }
 
-RouteTable FleetSimulator::MakeTable() const {
+void FleetSimulator::ReadNewestDocument(std::size_t index) {
+  ++store_calls_;
+  const EffectRunner runner{*this, index};
+  if (!documents_.empty()) {
+    runner.FeedLater(
+        kStoreLatency,
+        TableRead{.table_ = MakeTable(documents_.back()), .text_ = "t"});
+  }
+  runner.FeedLater(kStoreLatency, TableOffset{.next_ = documents_.size()});
+}
+
+void FleetSimulator::PollDocuments(std::size_t index, const AwaitTable& poll) {
+  ++store_calls_;
+  if (poll.from_ > documents_.size()) {
+    return EffectRunner{*this, index}.FeedLater(
+        kStoreLatency, StoreFailed{.call_ = StoreCall::kAwaitTable,
+                                   .fault_ = StoreFault::kHistoryLost});
+  }
+  const std::uint64_t id = ++last_poll_;
+  polls_[id] = {
+      .host_ = index, .process_ = nodes_[index]->process_, .from_ = poll.from_};
+  if (poll.from_ < documents_.size()) return AnswerPoll(id);
+  At(now_ + poll.wait_, [this, id] { AnswerPoll(id); });
+}
+
+void FleetSimulator::AnswerPoll(std::uint64_t poll_id) {
+  const auto found = polls_.find(poll_id);
+  if (found == polls_.end()) return;
+  const Poll poll = found->second;
+  polls_.erase(found);
+  if (nodes_[poll.host_]->process_ != poll.process_) return;
+  const EffectRunner runner{*this, poll.host_};
+  for (std::size_t i = poll.from_; i < documents_.size(); ++i) {
+    runner.FeedLater(
+        kStoreLatency,
+        TableRead{.table_ = MakeTable(documents_[i]), .text_ = "t"});
+  }
+  runner.FeedLater(kStoreLatency,
+                   TableOffset{.next_ = std::max<std::uint64_t>(
+                                   poll.from_, documents_.size())});
+}
+
+void FleetSimulator::PutDocument(std::uint64_t version) {
+  documents_.push_back(version);
+  std::vector<std::uint64_t> reached;
+  for (const auto& [id, poll] : polls_) {
+    if (poll.from_ < documents_.size()) reached.push_back(id);
+  }
+  for (const std::uint64_t id : reached) AnswerPoll(id);
+}
+
+void FleetSimulator::RestoreStore(const FleetStoreRestore& restore) {
+  const std::uint64_t newest = documents_.back();
+  documents_.resize(documents_.size() -
+                    std::min(documents_.size(), restore.lost_));
+  ++store_era_;
+  if (restore.breaks_calls_) {
+    for (const auto& [id, poll] : polls_) {
+      if (nodes_[poll.host_]->process_ != poll.process_) continue;
+      EffectRunner{*this, poll.host_}.FeedLater(
+          kStoreLatency, StoreFailed{.call_ = StoreCall::kAwaitTable});
+    }
+    polls_.clear();
+  }
+  if (restore.written_again_) PutDocument(newest);
+}
+
+bool FleetSimulator::IsInForce(std::uint64_t version) const {
+  return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+    return !node->alive_ || node->state_.table_.version_ >= version;
+  });
+}
+
+RouteTable FleetSimulator::MakeTable(std::uint64_t version) const {
   RouteTable table;
-  table.version_ = 1;
+  table.version_ = version;
   for (const FleetRoute& route : fleet_.routes_) {
     table.routes_.push_back(
         {.name_ = route.name_,
--- a/src/relaymodel/fleet_simulator.h
+++ b/src/relaymodel/fleet_simulator.h
@@ -68,6 +68,13 @@
   // Starts or ends a network partition between this zone and all others.
   void SetPartitioned(const std::string& zone, bool partitioned);
 
+  // The operator appends a document of this version to the store.
+  void PutDocument(std::uint64_t version);
+  void RestoreStore(const FleetStoreRestore& restore);
+  // Whether all relays have this version or a later one in force.
+  bool IsInForce(std::uint64_t version) const;
+  std::uint64_t store_calls() const { return store_calls_; }
+
   Timestamp now() const { return now_; }
   RandomState& random() { return random_; }
   const Fleet& fleet() const { return fleet_; }
@@ -127,6 +134,10 @@
   void SendWithoutRelays(const FleetRoute& route, std::string trace_id,
                          Duration remaining, std::size_t from,
                          AnswerHandler handler);
+  void ReadNewestDocument(std::size_t index);
+  void PollDocuments(std::size_t index, const AwaitTable& poll);
+  // Answers a poll with the documents from its offset on.
+  void AnswerPoll(std::uint64_t poll_id);
   void Enqueue(std::size_t index, Run run);
   void StartNext(std::size_t index);
 
@@ -139,7 +150,7 @@
   void ContinueRun(std::size_t index, std::uint64_t run_id);
   // Ends a run; with status 0 without a response.
   void EndRun(std::size_t index, std::uint64_t run_id, int status);
-  RouteTable MakeTable() const;
+  RouteTable MakeTable(std::uint64_t version) const;
 
   Fleet fleet_;
   FleetPolicy policy_;
@@ -163,6 +174,18 @@
   std::set<std::string> crashing_fingerprints_;  // of target and body
   std::uint64_t harmless_refused_ = 0;
   NoticeCounts notices_;
+  // Versions of the documents in the store, by offset, and the calls that wait
+  // for later ones.
+  std::vector<std::uint64_t> documents_{1};
+  std::uint64_t store_era_ = 1;  // number of its restores, plus one
+  struct Poll {
+    std::size_t host_ = 0;
+    std::uint64_t process_ = 0;
+    std::uint64_t from_ = 0;
+  };
+  std::map<std::uint64_t, Poll> polls_;
+  std::uint64_t last_poll_ = 0;
+  std::uint64_t store_calls_ = 0;
   // What the store keeps for condemned contents; it outlives all hosts.
   struct SavedCharges {
     Timestamp at_;
--- a/src/relaymodel/fleet_types.h
+++ b/src/relaymodel/fleet_types.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -129,6 +130,23 @@
   Duration to_ = Duration::zero();
 };
 
+// The operator appends a new document to the store.
+struct FleetDocument {
+  Duration at_ = Duration::zero();
+  std::uint64_t version_ = 0;  // the first document has version 1
+};
+
+// The store comes back from a copy that lacks its latest records.
+struct FleetStoreRestore {
+  Duration at_ = Duration::zero();
+  std::size_t lost_ = 0;  // documents
+  // The operator appends the latest document again, at once.
+  bool written_again_ = true;
+  // The calls that wait at the store end without an answer. Otherwise they wait
+  // on, for an offset of before.
+  bool breaks_calls_ = false;
+};
+
 struct FleetRunOptions {
   std::uint64_t seed_ = 1;
   Duration length_ = std::chrono::seconds(20);
@@ -139,6 +157,8 @@
   std::vector<FleetRestart> restarts_;
   std::vector<FleetPartition> partitions_;
   std::vector<FleetRateLimit> rate_limits_;
+  std::vector<FleetDocument> documents_;  // in order
+  std::vector<FleetStoreRestore> store_restores_;
   // All requests of a route have the same content; otherwise no two do.
   bool identical_requests_ = true;
   double base_factor_ = 1.0;
@@ -170,6 +190,10 @@
 inline constexpr Duration kCondemnationGrace = std::chrono::seconds(4);
 
 struct FleetResult {
+  // Time from the last document until it is in force at all hosts; nullopt: not
+  // within the run.
+  std::optional<Duration> document_delay_;
+  std::uint64_t store_calls_ = 0;  // of all relays
   // Largest use of a rate limit, see RateLimitAudit.
   double rate_limit_use_ = 0.0;
   std::map<std::string, FleetRouteResult> routes_;
