Logs: the era of the store

No decision uses it yet. The store of the stand-ins names its era, can come back without its latest records, and answers 410 to an offset beyond its end.

--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -237,6 +237,7 @@
 // contents.
 
 void StartStore(RelayStep& step);
+void OnStoreEra(RelayStep& step, std::uint64_t era);
 void OnTableRead(RelayStep& step, TableRead& read);
 void OnTableOffset(RelayStep& step, std::uint64_t next);
 void OnNodesRead(RelayStep& step, const NodesRead& read);
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -121,6 +121,26 @@
   step.effects_.emplace_back(AnnounceNode{});
 }
 
+void OnStoreEra(RelayStep& step, std::uint64_t era) {
+  StoreState& store = step.state_.store_;
+  if (store.era_ == era) return;
+  const std::optional<std::uint64_t> before = store.era_;
+  store.era_ = era;
+  if (!before) return;
+  const auto offset = store.next_offset_
+                          ? static_cast<std::int64_t>(*store.next_offset_)
+                          : std::int64_t{-1};
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kStoreRestored,
+      .trace_id_ = {},
+      .inputs_ = {
+          {"from", static_cast<std::int64_t>(*before)},
+          {"to", static_cast<std::int64_t>(era)},
+          {"offset", offset},
+          {"waiting", std::int64_t{store.waiting_}},
+          {"table", static_cast<std::int64_t>(step.state_.table_.version_)}}});
+}
+
 void OnTableRead(RelayStep& step, TableRead& read) {
   RelayState& state = step.state_;
   // A process never goes back to an older document.
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -134,6 +134,7 @@
   void operator()(BackendDeregistered& e) const {
     OnBackendDeregistered(step_, e);
   }
+  void operator()(StoreEra& e) const { OnStoreEra(step_, e.era_); }
   void operator()(TableRead& e) const { OnTableRead(step_, e); }
   void operator()(TableOffset& e) const { OnTableOffset(step_, e.next_); }
   void operator()(NodesRead& e) const { OnNodesRead(step_, e); }
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -130,6 +130,7 @@
   kTableChanged,
   kStoreLost,
   kStoreBack,
+  kStoreRestored,  // it came back from an older copy
   kAdmissionChanged,
   kStopping,
   kReloaded,
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -139,6 +139,13 @@
   std::uint64_t next_ = 0;
 };
 
+// An answer of the store names its era, which rises each time the store comes
+// back from a copy that lacks its latest records. Precedes the event of the
+// answer itself.
+struct StoreEra {
+  std::uint64_t era_ = 0;
+};
+
 // Addresses of the nodes listed in the store.
 struct NodesRead {
   std::vector<std::string> addresses_;
@@ -192,10 +199,10 @@
     std::variant<RequestArrived, RequestCancelled, LinkReceived,
                  InboundLinkClosed, PeerConnected, PeerDisconnected,
                  BackendResponded, BackendExchangeFailed, BackendProbed,
-                 BackendHeartbeat, BackendDeregistered, TableRead, TableOffset,
-                 NodesRead, NodeAnnounced, ChargesRead, ChargesSaved,
-                 StoreFailed, InputUnreadable, RelayTimeReached, StopRequested,
-                 SettingsReloaded>;
+                 BackendHeartbeat, BackendDeregistered, StoreEra, TableRead,
+                 TableOffset, NodesRead, NodeAnnounced, ChargesRead,
+                 ChargesSaved, StoreFailed, InputUnreadable, RelayTimeReached,
+                 StopRequested, SettingsReloaded>;
 
 // An input of the reducer and the time at which it was received.
 struct RelayEvent {
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -364,7 +364,8 @@
 // Progress of the calls to the store.
 struct StoreState {
   std::optional<std::uint64_t> next_offset_;
-  bool nodes_listed_ = false;  // the store's list of nodes has been read
+  std::optional<std::uint64_t> era_;  // of the store's latest answer
+  bool nodes_listed_ = false;         // the store's list of nodes has been read
   // A poll for documents is in progress or will be retried. False on nodes that
   // rely on other readers of their zone.
   bool waiting_ = false;
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -93,6 +93,8 @@
       return "store_lost";
     case DecisionKind::kStoreBack:
       return "store_back";
+    case DecisionKind::kStoreRestored:
+      return "store_restored";
     case DecisionKind::kAdmissionChanged:
       return "admission_changed";
     case DecisionKind::kStopping:
--- a/standins/platform/store_standin.cc
+++ b/standins/platform/store_standin.cc
@@ -44,6 +44,34 @@
   }
 }
 
+void StoreStandin::Restore(std::size_t lost, bool again) {
+  ++era_;
+  std::string document;
+  for (auto& [name, topic] : topics_) {
+    if (const auto found = topic.newest_.find("config");
+        found != topic.newest_.end()) {
+      document = found->second.value_;
+    }
+    // What was dropped by Compact() cannot be restored key by key.
+    const std::size_t kept =
+        topic.records_.size() - std::min(topic.records_.size(), lost);
+    for (std::size_t i = kept; i < topic.records_.size(); ++i) {
+      topic.newest_.erase(topic.records_[i].key_);
+    }
+    topic.end_ -= topic.records_.size() - kept;
+    topic.records_.resize(kept);
+    for (const Record& record : topic.records_) {
+      if (!record.value_.empty()) topic.newest_[record.key_] = record;
+    }
+  }
+  if (again && !document.empty()) PutDocument(document);
+}
+
+void StoreStandin::Answer(std::uint64_t id, Http1Response response) {
+  response.headers_.emplace_back("Store-Era", std::to_string(era_));
+  server_.Answer(id, std::move(response));
+}
+
 void StoreStandin::Append(const std::string& name, const std::string& key,
                           const std::string& value) {
   Topic& topic = topics_[name];
@@ -59,7 +87,7 @@
     if (reader.topic_ == name) answered.push_back(id);
   }
   for (const std::uint64_t id : answered) {
-    server_.Answer(id, Read(name, readers_.at(id).from_));
+    Answer(id, Read(name, readers_.at(id).from_));
     readers_.erase(id);
   }
 }
@@ -93,7 +121,11 @@
     response.body_ = BigEndian64(0) + BigEndian64(0);
     return response;
   }
-  if (from < topic->second.first_) return {.status_ = 410};
+  // Records before the first are gone, and those after the end not there yet
+  // or again.
+  if (from < topic->second.first_ || from > topic->second.end_) {
+    return {.status_ = 410};
+  }
   response.body_ =
       BigEndian64(topic->second.end_) + BigEndian64(topic->second.first_);
   for (const Record& record : topic->second.records_) {
@@ -112,27 +144,27 @@
   ++calls_;
   if (mode_ == StoreMode::kSilent) return;
   if (mode_ == StoreMode::kBusy) {
-    return server_.Answer(id, {.status_ = 503});
+    return Answer(id, {.status_ = 503});
   }
   const QUrl url(QString::fromStdString(request.target_));
   const QUrlQuery query(url);
   const std::string topic = query.queryItemValue("topic").toStdString();
   if (url.path().endsWith("log-newest")) {
-    return server_.Answer(id, Newest(topic));
+    return Answer(id, Newest(topic));
   }
   if (url.path().endsWith("log-append")) {
     const auto key_size = static_cast<std::uint8_t>(request.body_.at(4));
     Append(topic, request.body_.substr(5, key_size),
            request.body_.substr(5U + key_size));
-    return server_.Answer(id, Json({{"offset", 0}, {"end", 1}}));
+    return Answer(id, Json({{"offset", 0}, {"end", 1}}));
   }
   const auto from = query.queryItemValue("from").toULongLong();
   const auto found = topics_.find(topic);
   const std::uint64_t end = found == topics_.end() ? 0 : found->second.end_;
-  if (from < end) return server_.Answer(id, Read(topic, from));
+  if (from != end) return Answer(id, Read(topic, from));
   readers_[id] = {topic, from};
   QTimer::singleShot(query.queryItemValue("wait_ms").toInt(), this, [=, this] {
-    if (readers_.erase(id) > 0) server_.Answer(id, Read(topic, from));
+    if (readers_.erase(id) > 0) Answer(id, Read(topic, from));
   });
 }
 
--- a/standins/platform/store_standin.h
+++ b/standins/platform/store_standin.h
@@ -33,6 +33,11 @@
   // snapshot, and reads from an older offset get 410.
   void Compact();
 
+  // Comes back from a copy that lacks the latest `lost` records of each topic,
+  // which offsets are given out again. Writes the document again if `again`.
+  // Calls that wait go on, for an offset of before.
+  void Restore(std::size_t lost, bool again);
+
   std::uint64_t calls() const { return calls_; }
 
  private:
@@ -53,6 +58,8 @@
   };
 
   void OnRequest(std::uint64_t id, const Http1Request& request);
+  // Answers with the era.
+  void Answer(std::uint64_t id, Http1Response response);
   void Append(const std::string& topic, const std::string& key,
               const std::string& value);
   Http1Response Newest(const std::string& topic) const;
@@ -61,6 +68,7 @@
   Http1Server server_;
   StoreMode mode_ = StoreMode::kServing;
   std::uint64_t calls_ = 0;
+  std::uint64_t era_ = 1;
   std::map<std::string, Topic> topics_;
   std::map<std::uint64_t, Reader>
       readers_;  // pending long polls, by request id
