Store: offsets are valid in the era in which they were read

Callers see: after the platform's store came back from a copy, a change of the document that the store has confirmed is not in force, at any host, until the next change or a failed call.

Nodes waited at an offset that the restored store gave out again. If as many records came again as were lost, the next change lay before that offset, and nobody is told.

- An answer of another era, higher or lower, makes a node drop its offset, give up its poll and read the document anew, which gives an offset of that era.
- A poll after a failure does not wait: only an answer names the era.
- The era travels in statuses.
The first node that sees a new one tells all; others that wait give up their poll and ask at once, once for each era.
- What this fleet wrote has owners who write it again: each node its address, spread over a second or 10 ms a node, and then reads the list (of any two nodes one sees the other); the first host of a zone the condemned contents.

Ruled out: an older document never replaces a newer one in a process (versions are compared).

--- a/fuzz/fuzz_platform.cc
+++ b/fuzz/fuzz_platform.cc
@@ -31,6 +31,7 @@
           total += EncodeRecord(record).size();
         }
         if (total > bytes.size()) std::abort();
+        DecodeEnd(bytes);
       }
       break;
     case 3:
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -314,7 +314,8 @@
           state.store_.available_ &&
           (state.store_.waiting_ || step.now_ < state.store_.paused_until_),
       .rejected_share_ = state.arrivals_.rejected_share_,
-      .suspicion_digest_ = state.content_watch_.known_.digest_};
+      .suspicion_digest_ = state.content_watch_.known_.digest_,
+      .store_era_ = state.store_.era_.value_or(0)};
   return status;
 }
 
@@ -381,6 +382,7 @@
     peer.version_seen_at_ = step.now_;
   if (restarted) peer.holds_.clear();
   ApplyLeaveNotice(step, peer, connection_id, status);
+  OnPeerStoreEra(step, status.store_era_);
   SetStatus(step, peer, std::move(status));
   peer.sent_since_report_ = 0;
   peer.load_reported_at_ = step.now_;
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -164,6 +164,8 @@
 void OnChargesNotSaved(RelayStep& step);
 // Writes the next content to the store whose charges there are out of date.
 void SaveNextCharges(RelayStep& step);
+// Writes all condemned contents to the store again.
+void SaveAllCharges(RelayStep& step);
 // Refuses waiting runs whose content has been condemned in the meantime.
 void RefuseCondemnedWaiting(RelayStep& step);
 
@@ -239,7 +241,9 @@
 void StartStore(RelayStep& step);
 void OnStoreEra(RelayStep& step, std::uint64_t era);
 void OnTableRead(RelayStep& step, TableRead& read);
-void OnTableOffset(RelayStep& step, std::uint64_t next);
+void OnTableOffset(RelayStep& step, const TableOffset& offset);
+// A peer has seen this era of the store.
+void OnPeerStoreEra(RelayStep& step, std::uint64_t era);
 void OnNodesRead(RelayStep& step, const NodesRead& read);
 void OnNodeAnnounced(RelayStep& step);
 // The store has answered a call.
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -2,10 +2,16 @@
 
 #include "base/hashing.h"
 #include "relay/internal/relay_step.h"
+#include "relay/internal/zone_sums.h"
 
 namespace jujubefront {
 namespace {
 
+// The announcements of all nodes after a restore of the store are spread over
+// this time, or this long for each node.
+constexpr Duration kMinAnnounceSpread = std::chrono::seconds(1);
+constexpr Duration kAnnounceSpacing = std::chrono::milliseconds(10);
+
 std::string_view CallName(StoreCall call) {
   switch (call) {
     case StoreCall::kReadTable:
@@ -80,13 +86,60 @@
   return before < step.options_.store_readers_per_zone_;
 }
 
-// Polls the store for documents after the last offset.
+// Polls the store for documents after the last offset. After a failure the
+// store may have come back from a copy, and the offset be given out again: the
+// poll then returns at once, as only an answer shows that.
 void StartPoll(RelayStep& step) {
-  step.state_.store_.waiting_ = true;
+  StoreState& store = step.state_.store_;
+  store.waiting_ = true;
   ++step.state_.counters_.store_calls_;
-  step.effects_.emplace_back(
-      AwaitTable{.from_ = step.state_.store_.next_offset_.value_or(0),
-                 .wait_ = ComputePollWait(step)});
+  step.effects_.emplace_back(AwaitTable{
+      .from_ = store.next_offset_.value_or(0),
+      .wait_ = store.poll_at_once_ ? Duration::zero() : ComputePollWait(step)});
+}
+
+// Reads the document, and with it an offset of the store's present era.
+void StartRead(RelayStep& step) {
+  StoreState& store = step.state_.store_;
+  if (store.reading_) return;
+  store.reading_ = true;
+  ++step.state_.counters_.store_calls_;
+  step.effects_.emplace_back(ReadTable{});
+}
+
+void StopPoll(RelayStep& step) {
+  if (!step.state_.store_.waiting_) return;
+  step.state_.store_.waiting_ = false;
+  step.effects_.emplace_back(AbandonPoll{});
+}
+
+// Lists this node again in a store of this era, which may have lost its entry.
+// The times of all nodes are spread.
+void ScheduleAnnounce(RelayStep& step, std::uint64_t era) {
+  StoreState& store = step.state_.store_;
+  if (store.announce_era_ == era) return;
+  store.announce_era_ = era;
+  const auto nodes = static_cast<std::int64_t>(step.state_.peers_.size());
+  const Duration spread =
+      std::max(kMinAnnounceSpread, kAnnounceSpacing * nodes);
+  const double unit = NextUnit(step.state_.random_);
+  ScheduleTimer(step,
+                step.now_ + Duration(static_cast<std::int64_t>(
+                                static_cast<double>(spread.count()) * unit)),
+                RelayTimerKind::kStore,
+                static_cast<std::uint64_t>(StoreCall::kAnnounce));
+}
+
+// The store came back without its latest records. Offsets of before mean
+// nothing, and what this node has written may be gone.
+void OnStoreRestored(RelayStep& step, std::uint64_t era) {
+  StoreState& store = step.state_.store_;
+  const bool was_waiting = store.waiting_;
+  store.next_offset_.reset();
+  StopPoll(step);
+  if (was_waiting) StartRead(step);
+  ScheduleAnnounce(step, era);
+  if (RanksFirstInZone(step)) SaveAllCharges(step);
 }
 
 // Delays the next poll during a burst of documents. Each document ends the
@@ -117,6 +170,7 @@
   // Before the document: without one the node runs nothing, so that in general
   // it knows the condemned contents when it runs its first request.
   step.effects_.emplace_back(ReadCharges{});
+  step.state_.store_.reading_ = true;
   step.effects_.emplace_back(ReadTable{});
   step.effects_.emplace_back(AnnounceNode{});
 }
@@ -126,7 +180,10 @@
   if (store.era_ == era) return;
   const std::optional<std::uint64_t> before = store.era_;
   store.era_ = era;
-  if (!before) return;
+  if (!before) {
+    store.announce_era_ = era;
+    return;
+  }
   const auto offset = store.next_offset_
                           ? static_cast<std::int64_t>(*store.next_offset_)
                           : std::int64_t{-1};
@@ -139,6 +196,21 @@
           {"offset", offset},
           {"waiting", std::int64_t{store.waiting_}},
           {"table", static_cast<std::int64_t>(step.state_.table_.version_)}}});
+  OnStoreRestored(step, era);
+  // Peers that have not seen the new era may wait at an offset of before.
+  if (era > store.heard_era_) BroadcastStatus(step);
+}
+
+void OnPeerStoreEra(RelayStep& step, std::uint64_t era) {
+  StoreState& store = step.state_.store_;
+  if (era <= store.heard_era_) return;
+  store.heard_era_ = era;
+  if (!store.era_ || era <= *store.era_) return;
+  ScheduleAnnounce(step, era);
+  if (!store.waiting_ || !store.next_offset_) return;
+  StopPoll(step);
+  store.poll_at_once_ = true;
+  StartPoll(step);
 }
 
 void OnTableRead(RelayStep& step, TableRead& read) {
@@ -161,18 +233,23 @@
   BroadcastTableVersion(step, read.from_peer_);
 }
 
-void OnTableOffset(RelayStep& step, std::uint64_t next) {
+void OnTableOffset(RelayStep& step, const TableOffset& offset) {
   RecordStoreAnswer(step);
-  step.state_.store_.next_offset_ = next;
-  step.state_.store_.waiting_ = false;
+  StoreState& store = step.state_.store_;
+  // The poll was given up when its own answer showed a new era.
+  if (offset.polled_ && !store.waiting_) return;
+  if (!offset.polled_) store.reading_ = false;
+  store.next_offset_ = offset.next_;
+  store.waiting_ = false;
+  store.poll_at_once_ = false;
   TickStore(step);
 }
 
 void TickStore(RelayStep& step) {
   const StoreState& store = step.state_.store_;
-  if (store.waiting_ || !store.next_offset_ || !IsReader(step)) return;
+  if (store.waiting_ || store.reading_ || !IsReader(step)) return;
   if (step.now_ < store.paused_until_) return;
-  StartPoll(step);
+  store.next_offset_ ? StartPoll(step) : StartRead(step);
 }
 
 void OnNodeAnnounced(RelayStep& step) {
@@ -201,14 +278,25 @@
                  .inputs_ = {{"call", std::string(CallName(failed.call_))},
                              {"why", std::string(FaultName(failed.fault_))}}});
   }
-  const bool reread = failed.call_ == StoreCall::kAwaitTable &&
-                      failed.fault_ == StoreFault::kHistoryLost;
+  const bool polled = failed.call_ == StoreCall::kAwaitTable;
+  const bool reread = polled && failed.fault_ == StoreFault::kHistoryLost;
+  // The poll was given up when its own answer showed a new era.
+  if (polled && !store.waiting_) return;
+  if (polled) store.poll_at_once_ = true;
+  if (reread) {
+    store.waiting_ = false;
+    store.reading_ = true;
+  }
   if (failed.call_ == StoreCall::kSaveCharges) OnChargesNotSaved(step);
   ScheduleRetry(step, reread ? StoreCall::kReadTable : failed.call_);
 }
 
 void RepeatStoreCall(RelayStep& step, StoreCall call) {
-  if (call == StoreCall::kAwaitTable) return StartPoll(step);
+  if (call == StoreCall::kAwaitTable) {
+    // Otherwise the poll has been given up.
+    if (step.state_.store_.waiting_) StartPoll(step);
+    return;
+  }
   if (call == StoreCall::kSaveCharges) return SaveNextCharges(step);
   ++step.state_.counters_.store_calls_;
   if (call == StoreCall::kReadTable) step.effects_.emplace_back(ReadTable{});
--- a/src/relay/internal/suspects.cc
+++ b/src/relay/internal/suspects.cc
@@ -402,6 +402,14 @@
   RefuseCondemnedWaiting(step);
 }
 
+void SaveAllCharges(RelayStep& step) {
+  for (const auto& [content, suspect] :
+       step.state_.content_watch_.known_.suspects_) {
+    if (HasChargesToCondemn(step, content)) MarkUnsaved(step, content);
+  }
+  SaveNextCharges(step);
+}
+
 void OnChargesSaved(RelayStep& step) {
   RecordStoreAnswer(step);
   step.state_.content_watch_.saving_.reset();
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -70,6 +70,7 @@
   // Share of the arriving runs that the backend server rejects, smoothed.
   double rejected_share_ = 0.0;
   std::uint64_t suspicion_digest_ = 0;  // equal digests: equal suspicions
+  std::uint64_t store_era_ = 0;  // of the store's latest answer; 0: unknown
 };
 
 inline double UsableSlots(const HostStatus& status) {
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -136,7 +136,7 @@
   }
   void operator()(StoreEra& e) const { OnStoreEra(step_, e.era_); }
   void operator()(TableRead& e) const { OnTableRead(step_, e); }
-  void operator()(TableOffset& e) const { OnTableOffset(step_, e.next_); }
+  void operator()(TableOffset& e) const { OnTableOffset(step_, e); }
   void operator()(NodesRead& e) const { OnNodesRead(step_, e); }
   void operator()(NodeAnnounced&) const { OnNodeAnnounced(step_); }
   void operator()(ChargesRead& e) const { OnChargesRead(step_, e); }
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -73,6 +73,9 @@
   Duration wait_ = Duration::zero();  // maximum
 };
 
+// Gives up the poll for documents. Its result is not reported.
+struct AbandonPoll {};
+
 // Lists this node in the store.
 struct AnnounceNode {};
 
@@ -149,9 +152,9 @@
 using RelayEffect =
     std::variant<AnswerRequest, SendToPeer, SendBack, ConnectPeer,
                  DisconnectPeer, StartRun, AbortRun, ProbeBackend, ReadTable,
-                 AwaitTable, AnnounceNode, ReadNodes, ReadCharges, SaveCharges,
-                 ApplyClientLimits, SetReady, CloseClients, EndProcess,
-                 Decision>;
+                 AwaitTable, AbandonPoll, AnnounceNode, ReadNodes, ReadCharges,
+                 SaveCharges, ApplyClientLimits, SetReady, CloseClients,
+                 EndProcess, Decision>;
 
 }  // namespace jujubefront
 
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -137,6 +137,7 @@
 // starts.
 struct TableOffset {
   std::uint64_t next_ = 0;
+  bool polled_ = false;  // answer to AwaitTable
 };
 
 // An answer of the store names its era, which rises each time the store comes
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -365,7 +365,11 @@
 struct StoreState {
   std::optional<std::uint64_t> next_offset_;
   std::optional<std::uint64_t> era_;  // of the store's latest answer
-  bool nodes_listed_ = false;         // the store's list of nodes has been read
+  std::uint64_t heard_era_ = 0;       // highest that a peer has reported
+  std::uint64_t announce_era_ = 0;    // for which this node lists itself again
+  bool reading_ = false;  // the document is being read, which gives an offset
+  bool poll_at_once_ = false;  // the next poll must not wait
+  bool nodes_listed_ = false;  // the store's list of nodes has been read
   // A poll for documents is in progress or will be retried. False on nodes that
   // rely on other readers of their zone.
   bool waiting_ = false;
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -138,6 +138,7 @@
   backendSequence @19 :UInt64;
   suspicionDigest @20 :UInt64;
   startLimit @21 :StartLimit;
+  storeEra @22 :UInt64;
 }
 
 struct Order {
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -176,6 +176,7 @@
   builder.setBackendStartedAtMs(status.backend_started_at_ms_);
   builder.setBackendSequence(status.backend_sequence_);
   builder.setSuspicionDigest(status.suspicion_digest_);
+  builder.setStoreEra(status.store_era_);
   if (status.start_limit_) {
     Write(builder.initStartLimit(), *status.start_limit_);
   }
@@ -208,6 +209,7 @@
   status.backend_started_at_ms_ = reader.getBackendStartedAtMs();
   status.backend_sequence_ = reader.getBackendSequence();
   status.suspicion_digest_ = reader.getSuspicionDigest();
+  status.store_era_ = reader.getStoreEra();
   if (reader.hasStartLimit()) {
     status.start_limit_ = Read(reader.getStartLimit());
   }
--- a/src/relaymodel/fleet_simulator.cc
+++ b/src/relaymodel/fleet_simulator.cc
@@ -225,6 +225,12 @@
                   });
   }
 
+  // Feeds an answer of the store with the era in which it is given.
+  void FeedStoreAnswer(RelayEventBody body) const {
+    FeedLater(kStoreLatency, StoreEra{simulator_.store_era_});
+    FeedLater(kStoreLatency, std::move(body));
+  }
+
   // Delivers a message on a connection after the network latency. A message
   // across a partition is lost.
   void Deliver(std::uint64_t id, bool to_opener, LinkMessage message) const {
@@ -323,9 +329,15 @@
   void operator()(AwaitTable& effect) const {
     simulator_.PollDocuments(index_, effect);
   }
+  void operator()(AbandonPoll&) const {
+    std::erase_if(simulator_.polls_, [&](const auto& entry) {
+      return entry.second.host_ == index_ &&
+             entry.second.process_ == node().process_;
+    });
+  }
   void operator()(AnnounceNode&) const {
     ++simulator_.store_calls_;
-    FeedLater(kStoreLatency, NodeAnnounced{});
+    FeedStoreAnswer(NodeAnnounced{});
   }
   void operator()(ReadNodes&) const {
     ++simulator_.store_calls_;
@@ -687,19 +699,17 @@
   ++store_calls_;
   const EffectRunner runner{*this, index};
   if (!documents_.empty()) {
-    runner.FeedLater(
-        kStoreLatency,
+    runner.FeedStoreAnswer(
         TableRead{.table_ = MakeTable(documents_.back()), .text_ = "t"});
   }
-  runner.FeedLater(kStoreLatency, TableOffset{.next_ = documents_.size()});
+  runner.FeedStoreAnswer(TableOffset{.next_ = documents_.size()});
 }
 
 void FleetSimulator::PollDocuments(std::size_t index, const AwaitTable& poll) {
   ++store_calls_;
   if (poll.from_ > documents_.size()) {
-    return EffectRunner{*this, index}.FeedLater(
-        kStoreLatency, StoreFailed{.call_ = StoreCall::kAwaitTable,
-                                   .fault_ = StoreFault::kHistoryLost});
+    return EffectRunner{*this, index}.FeedStoreAnswer(StoreFailed{
+        .call_ = StoreCall::kAwaitTable, .fault_ = StoreFault::kHistoryLost});
   }
   const std::uint64_t id = ++last_poll_;
   polls_[id] = {
@@ -716,13 +726,12 @@
   if (nodes_[poll.host_]->process_ != poll.process_) return;
   const EffectRunner runner{*this, poll.host_};
   for (std::size_t i = poll.from_; i < documents_.size(); ++i) {
-    runner.FeedLater(
-        kStoreLatency,
+    runner.FeedStoreAnswer(
         TableRead{.table_ = MakeTable(documents_[i]), .text_ = "t"});
   }
-  runner.FeedLater(kStoreLatency,
-                   TableOffset{.next_ = std::max<std::uint64_t>(
-                                   poll.from_, documents_.size())});
+  runner.FeedStoreAnswer(TableOffset{
+      .next_ = std::max<std::uint64_t>(poll.from_, documents_.size()),
+      .polled_ = true});
 }
 
 void FleetSimulator::PutDocument(std::uint64_t version) {
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -75,6 +75,7 @@
   void operator()(AwaitTable& effect) const {
     shell_.store_.await_table_(effect.from_, effect.wait_);
   }
+  void operator()(AbandonPoll&) const { shell_.store_.abandon_poll_(); }
   void operator()(AnnounceNode&) const { shell_.store_.announce_(); }
   void operator()(ReadNodes&) const { shell_.store_.read_nodes_(); }
   void operator()(ReadCharges&) const { shell_.store_.read_charges_(); }
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -69,6 +69,7 @@
   std::function<void()> read_table_;  // reads the newest routing document
   // Waits for a routing document at offset `from` or later, for at most `wait`.
   std::function<void(std::uint64_t from, Duration wait)> await_table_;
+  std::function<void()> abandon_poll_;  // gives up await_table_, unreported
   std::function<void()> announce_;      // lists this node in the store
   std::function<void()> read_nodes_;    // reads the nodes that the store lists
   std::function<void()> read_charges_;  // reads all that save_charges_ has kept
