--- a/standins/soak/soak_run.cc
+++ b/standins/soak/soak_run.cc
@@ -46,6 +46,10 @@
 constexpr std::array kLimits = {0.0, 0.4, 3.0, 8.0};
 // The rate limit binds a host this long after it has passed on an answer.
 constexpr Duration kLimitBindsAfter = std::chrono::milliseconds(500);
+// The store comes back from a copy that lacks up to kMaxLostRecords of each
+// topic.
+constexpr Duration kRestoreInterval = std::chrono::milliseconds(2500);
+constexpr std::uint64_t kMaxLostRecords = 4;
 // First character of the ids of requests with the crashing content, and of all
 // others.
 constexpr char kCrashId = 'c';
@@ -143,6 +147,7 @@
     crash_timer_.stop();
     endless_timer_.stop();
     statement_timer_.stop();
+    restore_timer_.stop();
     // Requests in flight end by their deadlines.
     WaitUntil(std::chrono::seconds(2), [this] { return open_.empty(); });
     Finish();
@@ -241,6 +246,13 @@
     QObject::connect(&statement_timer_, &QTimer::timeout, this,
                      [this] { ChangeStatements(); });
     statement_timer_.start(Millis(kStatementInterval));
+    QObject::connect(&restore_timer_, &QTimer::timeout, this, [this] {
+      if (faults_over_) return;
+      ++result_.store_restores_;
+      hosts_.store().Restore(1 + NextBelow(statement_random_, kMaxLostRecords),
+                             true);
+    });
+    restore_timer_.start(Millis(kRestoreInterval));
     QObject::connect(&version_timer_, &QTimer::timeout, this,
                      [this] { Probe(); });
     version_timer_.start(Millis(kVersionPoll));
@@ -771,6 +783,7 @@
   QTimer crash_timer_;
   QTimer endless_timer_;
   QTimer statement_timer_;
+  QTimer restore_timer_;
   QTimer version_timer_;
   QTimer stall_timer_;
   std::set<std::uint64_t> open_;
--- a/standins/soak/soak_run.h
+++ b/standins/soak/soak_run.h
@@ -30,6 +30,7 @@
   int endless_responses_ = 0;
   int named_limits_ = 0;
   int stated_leaving_ = 0;
+  int store_restores_ = 0;
   double rate_limit_use_ = 0.0;  // largest, see RateLimitAudit
   std::size_t runs_ = 0;
   std::uint64_t logged_runs_ = 0;              // in the logs of the relays
