--- a/src/relay/tests/rate_limit_tests.cc
+++ b/src/relay/tests/rate_limit_tests.cc
@@ -236,12 +236,9 @@
       harness.Feed(LinkReceived{.connection_id_ = 1, .message_ = status});
       harness.SendRequest(1, "/read/1");
       const auto sent = harness.TakeRunOrders();
-      RunReply reply{
-          .send_id_ = sent.at(0).second.send_id_,
-          .outcome_ = RunOutcome::kAnswered,
-          .stated_ = {.started_at_ms_ = row.stated_by_, .rate_limit_ = 6.0}};
-      reply.response_.status_ = 200;
-      harness.Feed(LinkReceived{.peer_ = kPeer, .message_ = reply});
+      harness.ReceiveAnswer(
+          kPeer, sent.at(0).second,
+          {.started_at_ms_ = row.stated_by_, .rate_limit_ = 6.0});
       status.backend_started_at_ms_ = row.current_;
       harness.Feed(LinkReceived{.connection_id_ = 1, .message_ = status});
       harness.SendRequest(2, "/read/1");
--- a/src/relay/tests/relay_harness.h
+++ b/src/relay/tests/relay_harness.h
@@ -107,6 +107,16 @@
     Feed(PeerConnected{address});
   }
 
+  // A peer answers an order, and its backend server states this about itself.
+  void ReceiveAnswer(const std::string& peer, const RunOrder& order,
+                     const BackendStatement& stated) {
+    RunReply reply{.send_id_ = order.send_id_,
+                   .outcome_ = RunOutcome::kAnswered,
+                   .stated_ = stated};
+    reply.response_.status_ = 200;
+    Feed(LinkReceived{.peer_ = peer, .message_ = std::move(reply)});
+  }
+
   // A client sends a request to the node.
   void SendRequest(std::uint64_t id, const char* target,
                    Duration remaining = std::chrono::milliseconds(900)) {
