--- a/src/relay/tests/suspect_tests.cc
+++ b/src/relay/tests/suspect_tests.cc
@@ -159,6 +159,7 @@
   CPPUNIT_TEST(HostsWithAnotherDigestReceiveAllCharges);
   CPPUNIT_TEST(CondemnedContentsAreKeptInTheStore);
   CPPUNIT_TEST(FailedWritesToTheStoreAreRepeated);
+  CPPUNIT_TEST(RestoredStoreGetsCondemnedContentsAgain);
   CPPUNIT_TEST(ExpiredCondemnationsAreRemovedFromTheStore);
   CPPUNIT_TEST(RestartedNodeReadsCondemnedContentsFromTheStore);
   CPPUNIT_TEST(DocumentOfAPeerComesWithItsCharges);
@@ -514,6 +515,22 @@
     CPPUNIT_ASSERT(node.harness_.Take<SaveCharges>().empty());
   }
 
+  // A store that comes back from a copy may have lost what it has confirmed.
+  // One host of each zone writes it again.
+  void RestoredStoreGetsCondemnedContentsAgain() {
+    for (const bool ranks_first : {true, false}) {
+      NodeWithPeers node(ranks_first);
+      node.harness_.Feed(StoreEra{.era_ = 1});
+      node.ReceiveNotice(CrashNotice(3));
+      node.harness_.Feed(ChargesSaved{});
+      node.harness_.Take<SaveCharges>();
+      node.harness_.Feed(StoreEra{.era_ = 2});
+      const auto writes = node.harness_.Take<SaveCharges>();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ranks_first ? 1U : 0U}, writes.size());
+      if (ranks_first) CPPUNIT_ASSERT(!writes.front().charges_.empty());
+    }
+  }
+
   // Guards against records that stay in the store for good: nothing else
   // removes the newest record of a key.
   void ExpiredCondemnationsAreRemovedFromTheStore() {
--- a/src/relaymodel/tests/rate_limit_tests.cc
+++ b/src/relaymodel/tests/rate_limit_tests.cc
@@ -14,6 +14,15 @@
          static_cast<double>(counts.requested_);
 }
 
+// Limits a share of a service for most of a run.
+FleetRateLimit MakeLimit(const char* service, double share, double rate) {
+  return {.service_ = service,
+          .from_ = seconds(3),
+          .to_ = seconds(17),
+          .share_ = share,
+          .per_second_ = rate};
+}
+
 class RateLimitTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RateLimitTests);
   CPPUNIT_TEST(BackendServersGetNoMoreThanTheyName);
@@ -34,78 +43,70 @@
       std::vector<FleetSurge> surges_;
       std::vector<FleetRejection> rejections_;
     };
-    const auto limit = [](const char* service, double share, double rate) {
-      return FleetRateLimit{.service_ = service,
-                            .from_ = seconds(3),
-                            .to_ = seconds(17),
-                            .share_ = share,
-                            .per_second_ = rate};
-    };
-    const FleetRestart relays{.at_ = seconds(9),
-                              .share_ = 1.0,
-                              .service_ = "warranty",
-                              .relays_only_ = true};
     const Row rows[] = {
         {"most servers of a service",
          false,
          1.0,
-         {limit("warranty", 0.75, 11)},
+         {MakeLimit("warranty", 0.75, 11)},
          {},
          {},
          {}},
         {"all servers of a service",
          false,
          1.0,
-         {limit("warranty", 1.0, 11)},
+         {MakeLimit("warranty", 1.0, 11)},
          {},
          {},
          {}},
         {"their relays restart",
          false,
          1.0,
-         {limit("warranty", 1.0, 4)},
-         {relays},
+         {MakeLimit("warranty", 1.0, 4)},
+         {{.at_ = seconds(9),
+           .share_ = 1.0,
+           .service_ = "warranty",
+           .relays_only_ = true}},
          {},
          {}},
         {"a service that others call",
          false,
          1.0,
-         {limit("jobs", 1.0, 60)},
+         {MakeLimit("jobs", 1.0, 60)},
          {},
          {},
          {}},
         {"less than one call tree needs",
          false,
          1.0,
-         {limit("jobs", 0.5, 0.4)},
+         {MakeLimit("jobs", 0.5, 0.4)},
          {},
          {},
          {}},
         {"no requests at all",
          false,
          1.0,
-         {limit("warranty", 0.5, 0.0)},
+         {MakeLimit("warranty", 0.5, 0.0)},
          {},
          {},
          {}},
         {"surge",
          false,
          1.0,
-         {limit("payments", 1.0, 10)},
+         {MakeLimit("payments", 1.0, 10)},
          {},
          {{.from_ = seconds(6), .to_ = seconds(14), .factor_ = 2.5}},
          {}},
         {"part of the requests rejected",
          false,
          1.0,
-         {limit("jobs", 1.0, 60)},
+         {MakeLimit("jobs", 1.0, 60)},
          {},
          {},
          {{.service_ = "jobs",
            .from_ = seconds(4),
            .to_ = seconds(16),
            .share_ = 0.3}}},
-        {"66 hosts", true, 1.0, {limit("warranty", 0.7, 10)}, {}, {}, {}},
+        {"66 hosts", true, 1.0, {MakeLimit("warranty", 0.7, 10)}, {}, {}, {}},
     };
     for (const Row& row : rows) {
       const FleetResult result = RunFleet(BrolgaFleet(row.grown_), {},
