--- a/fuzz/fuzz_platform.cc
+++ b/fuzz/fuzz_platform.cc
@@ -37,7 +37,10 @@
     case 3:
       DecodeNewestPage(bytes);
       break;
-    case 4: {
+    case 4:
+      ParseSidecarSettings(bytes);
+      break;
+    default: {
       const jujubefront::BackendNotice notice =
           MakePlatformProtocol()
               .read_response_({.status_ = 200,
@@ -47,10 +50,7 @@
       const double limit = notice.rate_limit_.value_or(0.0);
       if (!std::isfinite(limit) || limit < 0.0) std::abort();
       if (notice.rate_limit_ && notice.rate_limit_unreadable_) std::abort();
-      break;
     }
-    default:
-      ParseSidecarSettings(bytes);
   }
   return 0;
 }
