Logs: who reads the store, where a document came from, age of its answers

Nothing in a relay's log told whether it read the store or relied on others, and whether a document came from the store or from a peer, so that a reader without answers (hypothesis 1) looked like a document that is handed on slowly (hypothesis 3). reader_changed, and inputs of table_changed and store_lost. No decision changes.

--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -86,6 +86,21 @@
   return before < step.options_.store_readers_per_zone_;
 }
 
+// Time since this node's latest answer of the store; -1: there was none.
+std::int64_t AnswerAge(const RelayStep& step) {
+  const auto& answered_at = step.state_.store_.answered_at_;
+  return answered_at ? (step.now_ - *answered_at).count() : -1;
+}
+
+void RecordReaderChange(RelayStep& step, bool is_reader) {
+  step.state_.store_.is_reader_ = is_reader;
+  step.effects_.emplace_back(
+      Decision{.kind_ = DecisionKind::kReaderChanged,
+               .trace_id_ = {},
+               .inputs_ = {{"reads", std::int64_t{is_reader}},
+                           {"answer_age_us", AnswerAge(step)}}});
+}
+
 // Polls the store for documents after the last offset. After a failure the
 // store may have come back from a copy, and the offset be given out again: the
 // poll then returns at once, as only an answer shows that.
@@ -157,6 +172,7 @@
 void RecordStoreAnswer(RelayStep& step) {
   StoreState& store = step.state_.store_;
   store.retry_wait_ = Duration::zero();
+  store.answered_at_ = step.now_;
   if (store.available_) return;
   store.available_ = true;
   step.effects_.emplace_back(Decision{
@@ -223,7 +239,9 @@
       .inputs_ = {
           {"from", static_cast<std::int64_t>(state.table_.version_)},
           {"to", static_cast<std::int64_t>(read.table_.version_)},
-          {"routes", static_cast<std::int64_t>(read.table_.routes_.size())}}});
+          {"routes", static_cast<std::int64_t>(read.table_.routes_.size())},
+          {"source", std::string(read.from_peer_ ? "peer" : "store")},
+          {"answer_age_us", AnswerAge(step)}}});
   state.table_ = std::move(read.table_);
   state.table_text_ = std::move(read.text_);
   step.effects_.emplace_back(
@@ -246,9 +264,11 @@
 }
 
 void TickStore(RelayStep& step) {
-  const StoreState& store = step.state_.store_;
-  if (store.waiting_ || store.reading_ || !IsReader(step)) return;
-  if (step.now_ < store.paused_until_) return;
+  StoreState& store = step.state_.store_;
+  if (store.waiting_ || store.reading_) return;
+  const bool is_reader = IsReader(step);
+  if (is_reader != store.is_reader_) RecordReaderChange(step, is_reader);
+  if (!is_reader || step.now_ < store.paused_until_) return;
   store.next_offset_ ? StartPoll(step) : StartRead(step);
 }
 
@@ -276,7 +296,8 @@
         Decision{.kind_ = DecisionKind::kStoreLost,
                  .trace_id_ = {},
                  .inputs_ = {{"call", std::string(CallName(failed.call_))},
-                             {"why", std::string(FaultName(failed.fault_))}}});
+                             {"why", std::string(FaultName(failed.fault_))},
+                             {"answer_age_us", AnswerAge(step)}}});
   }
   const bool polled = failed.call_ == StoreCall::kAwaitTable;
   const bool reread = polled && failed.fault_ == StoreFault::kHistoryLost;
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -134,6 +134,7 @@
   kStoreLost,
   kStoreBack,
   kStoreRestored,  // it came back from an older copy
+  kReaderChanged,  // this node begins or ceases to poll the store
   kAdmissionChanged,
   kStopping,
   kReloaded,
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -373,6 +373,8 @@
   // A poll for documents is in progress or will be retried. False on nodes that
   // rely on other readers of their zone.
   bool waiting_ = false;
+  bool is_reader_ = false;  // this node polls, as of the last decision on it
+  std::optional<Timestamp> answered_at_;  // latest answer of the store
   Duration retry_wait_ = Duration::zero();
   bool available_ = true;
   Timestamp failed_since_;
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -95,6 +95,8 @@
       return "store_back";
     case DecisionKind::kStoreRestored:
       return "store_restored";
+    case DecisionKind::kReaderChanged:
+      return "reader_changed";
     case DecisionKind::kAdmissionChanged:
       return "admission_changed";
     case DecisionKind::kStopping:
