--- a/src/relaymodel/experiment.cc
+++ b/src/relaymodel/experiment.cc
@@ -113,6 +113,15 @@
       simulator_.At(begin_ + restore.at_,
                     [this, &restore] { simulator_.RestoreStore(restore); });
     }
+    for (const FleetReaderFault& fault : options_.reader_faults_) {
+      simulator_.At(begin_ + fault.from_, [this, &fault] {
+        const auto hosts = simulator_.BeginReaderFault(fault);
+        simulator_.At(begin_ + fault.to_, [this, &fault, hosts] {
+          simulator_.EndReaderFault(fault.fault_, hosts);
+        });
+      });
+    }
+    if (!options_.documents_.empty()) AuditDocuments();
     for (const FleetRestart& restart : options_.restarts_) {
       simulator_.At(begin_ + restart.at_,
                     [this, &restart] { Restart(restart); });
@@ -260,6 +269,12 @@
                   [this, version, since] { AwaitInForce(version, since); });
   }
 
+  void AuditDocuments() {
+    simulator_.AuditDocuments();
+    simulator_.At(simulator_.now() + kInForcePoll,
+                  [this] { AuditDocuments(); });
+  }
+
   void EvaluateCrashing() {
     for (std::size_t i = 0; i < result_.crashing_.size(); ++i) {
       FleetCrashingResult& result = result_.crashing_[i];
@@ -381,6 +396,7 @@
     result_.recovery_seconds_ = RecoverySeconds();
     EvaluateCrashing();
     result_.store_calls_ = simulator_.store_calls();
+    result_.max_document_delay_ = simulator_.document_audit().max_delay();
     result_.rate_limit_use_ = simulator_.rate_limit_use();
     result_.harmless_refused_ = simulator_.harmless_refused();
     result_.notices_ = simulator_.notices().notices_;
--- a/src/relaymodel/fleet_simulator.cc
+++ b/src/relaymodel/fleet_simulator.cc
@@ -15,6 +15,8 @@
 
 constexpr const char* kHost = "fleet";
 constexpr Duration kStoreLatency = std::chrono::milliseconds(4);
+// Time beyond the requested wait after which a call to the store fails.
+constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kBackendLatency = std::chrono::microseconds(200);
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(1500);
 constexpr std::size_t kResponseBodyBytes = 600;
@@ -75,6 +77,9 @@
   RelayOptions options_;
   RelayState state_;
   std::optional<Timestamp> wake_at_;
+  bool store_is_silent_ = false;
+  bool frozen_ = false;
+  std::vector<std::shared_ptr<RelayEventBody>> held_;  // while it is frozen
   bool backend_alive_ = true;
   std::uint64_t incarnation_ = 0;                  // of the backend server
   std::uint64_t sequence_ = 0;                     // of its heartbeats
@@ -87,12 +92,18 @@
 
 FleetSimulator::FleetSimulator(const Fleet& fleet, const FleetPolicy& policy,
                                std::uint64_t seed)
-    : fleet_(fleet), policy_(policy), random_{MixBits(seed)} {
+    : fleet_(fleet),
+      policy_(policy),
+      random_{MixBits(seed)},
+      document_audit_(fleet.hosts_.size()) {
   for (std::size_t i = 0; i < fleet_.hosts_.size(); ++i) {
     by_address_[AddressOf(i)] = i;
     nodes_.push_back(std::make_shared<Node>());
   }
-  for (std::size_t i = 0; i < nodes_.size(); ++i) Start(i);
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    document_audit_.BeginDisturbance(i);
+    Start(i);
+  }
 }
 
 void FleetSimulator::At(Timestamp time, std::function<void()> action) {
@@ -115,6 +126,7 @@
   Node& node = *nodes_[index];
   node.alive_ = true;
   ++node.process_;
+  document_audit_.EndDisturbance(now_, index);
   if (!keeps_backend) {
     node.backend_alive_ = true;
     ++node.incarnation_;
@@ -182,6 +194,10 @@
 }
 
 bool FleetSimulator::IsPartitioned(std::size_t from, std::size_t to) const {
+  if (from != to &&
+      (cut_off_hosts_.contains(from) || cut_off_hosts_.contains(to))) {
+    return true;
+  }
   const std::string& a = fleet_.hosts_[from].zone_;
   const std::string& b = fleet_.hosts_[to].zone_;
   return a != b &&
@@ -203,6 +219,10 @@
 void FleetSimulator::Feed(std::size_t index, RelayEventBody body) {
   Node& node = *nodes_[index];
   if (!node.alive_) return;
+  if (node.frozen_) {
+    node.held_.push_back(std::make_shared<RelayEventBody>(std::move(body)));
+    return;
+  }
   ApplyEffects(index,
                StepRelay(node.state_, node.options_, {now_, std::move(body)}));
 }
@@ -225,6 +245,10 @@
                   });
   }
 
+  bool LosesCall(StoreCall call) const {
+    return simulator_.LoseStoreCall(index_, call, Duration::zero());
+  }
+
   // Feeds an answer of the store with the era in which it is given.
   void FeedStoreAnswer(RelayEventBody body) const {
     FeedLater(kStoreLatency, StoreEra{simulator_.store_era_});
@@ -337,10 +361,12 @@
   }
   void operator()(AnnounceNode&) const {
     ++simulator_.store_calls_;
+    if (LosesCall(StoreCall::kAnnounce)) return;
     FeedStoreAnswer(NodeAnnounced{});
   }
   void operator()(ReadNodes&) const {
     ++simulator_.store_calls_;
+    if (LosesCall(StoreCall::kReadNodes)) return;
     NodesRead read;
     for (const auto& [address, index] : simulator_.by_address_) {
       read.addresses_.push_back(address);
@@ -349,6 +375,7 @@
   }
   void operator()(ReadCharges&) const {
     ++simulator_.store_calls_;
+    if (LosesCall(StoreCall::kReadCharges)) return;
     ChargesRead read;
     for (const auto& [content, saved] : simulator_.saved_charges_) {
       for (ContentCharge charge : saved.charges_) {
@@ -359,6 +386,7 @@
     FeedLater(kStoreLatency, std::move(read));
   }
   void operator()(SaveCharges& effect) const {
+    if (LosesCall(StoreCall::kSaveCharges)) return;
     auto& saved = simulator_.saved_charges_;
     if (effect.charges_.empty()) {
       saved.erase(effect.content_);
@@ -645,6 +673,7 @@
   Node& node = *nodes_[host];
   node.alive_ = false;
   ++node.process_;
+  document_audit_.BeginDisturbance(host);
   for (std::size_t id = 1; id <= connections_.size(); ++id) {
     Connection& connection = connections_[id - 1];
     if (!connection.open_) continue;
@@ -695,8 +724,18 @@
   return crossings;
 }
 
+bool FleetSimulator::LoseStoreCall(std::size_t index, StoreCall call,
+                                   Duration wait) {
+  if (!nodes_[index]->store_is_silent_) return false;
+  EffectRunner{*this, index}.FeedLater(
+      wait + kStoreTimeout,
+      StoreFailed{.call_ = call, .fault_ = StoreFault::kNoAnswer});
+  return true;
+}
+
 void FleetSimulator::ReadNewestDocument(std::size_t index) {
   ++store_calls_;
+  if (LoseStoreCall(index, StoreCall::kReadTable, Duration::zero())) return;
   const EffectRunner runner{*this, index};
   if (!documents_.empty()) {
     runner.FeedStoreAnswer(
@@ -707,13 +746,16 @@
 
 void FleetSimulator::PollDocuments(std::size_t index, const AwaitTable& poll) {
   ++store_calls_;
+  if (LoseStoreCall(index, StoreCall::kAwaitTable, poll.wait_)) return;
   if (poll.from_ > documents_.size()) {
     return EffectRunner{*this, index}.FeedStoreAnswer(StoreFailed{
         .call_ = StoreCall::kAwaitTable, .fault_ = StoreFault::kHistoryLost});
   }
   const std::uint64_t id = ++last_poll_;
-  polls_[id] = {
-      .host_ = index, .process_ = nodes_[index]->process_, .from_ = poll.from_};
+  polls_[id] = {.host_ = index,
+                .process_ = nodes_[index]->process_,
+                .from_ = poll.from_,
+                .fails_at_ = now_ + poll.wait_ + kStoreTimeout};
   if (poll.from_ < documents_.size()) return AnswerPoll(id);
   At(now_ + poll.wait_, [this, id] { AnswerPoll(id); });
 }
@@ -735,6 +777,7 @@
 }
 
 void FleetSimulator::PutDocument(std::uint64_t version) {
+  document_audit_.RecordDocument(now_, version);
   documents_.push_back(version);
   std::vector<std::uint64_t> reached;
   for (const auto& [id, poll] : polls_) {
@@ -757,6 +800,81 @@
     polls_.clear();
   }
   if (restore.written_again_) PutDocument(newest);
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    document_audit_.BeginDisturbance(i);
+    document_audit_.EndDisturbance(now_, i);
+  }
+}
+
+std::vector<std::size_t> FleetSimulator::BeginReaderFault(
+    const FleetReaderFault& fault) {
+  std::vector<std::size_t> hosts;
+  std::size_t spared = 0;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i]->state_.store_.waiting_ || ++spared > fault.spared_) {
+      hosts.push_back(i);
+    }
+  }
+  for (const std::size_t i : hosts) {
+    Node& node = *nodes_[i];
+    switch (fault.fault_) {
+      case ReaderFault::kCutOff:
+        cut_off_hosts_.insert(i);
+        continue;
+      case ReaderFault::kFrozen:
+        node.frozen_ = true;
+        break;
+      case ReaderFault::kSilentStore:
+        node.store_is_silent_ = true;
+        LoseWaitingPoll(i);
+        break;
+    }
+    document_audit_.BeginDisturbance(i);
+  }
+  return hosts;
+}
+
+void FleetSimulator::LoseWaitingPoll(std::size_t index) {
+  const EffectRunner runner{*this, index};
+  std::erase_if(polls_, [&](const auto& entry) {
+    const Poll& poll = entry.second;
+    if (poll.host_ != index) return false;
+    if (poll.process_ == nodes_[index]->process_) {
+      runner.FeedLater(poll.fails_at_ - now_,
+                       StoreFailed{.call_ = StoreCall::kAwaitTable,
+                                   .fault_ = StoreFault::kNoAnswer});
+    }
+    return true;
+  });
+}
+
+void FleetSimulator::EndReaderFault(ReaderFault fault,
+                                    const std::vector<std::size_t>& hosts) {
+  for (const std::size_t i : hosts) {
+    Node& node = *nodes_[i];
+    switch (fault) {
+      case ReaderFault::kCutOff:
+        cut_off_hosts_.erase(i);
+        continue;
+      case ReaderFault::kFrozen:
+        node.frozen_ = false;
+        for (const auto& event : std::exchange(node.held_, {})) {
+          Feed(i, std::move(*event));
+        }
+        break;
+      case ReaderFault::kSilentStore:
+        node.store_is_silent_ = false;
+        break;
+    }
+    document_audit_.EndDisturbance(now_, i);
+  }
+}
+
+void FleetSimulator::AuditDocuments() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!nodes_[i]->alive_) continue;
+    document_audit_.RecordVersion(now_, i, nodes_[i]->state_.table_.version_);
+  }
 }
 
 bool FleetSimulator::IsInForce(std::uint64_t version) const {
--- a/src/relaymodel/fleet_simulator.h
+++ b/src/relaymodel/fleet_simulator.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "relay/relay.h"
+#include "relaymodel/document_audit.h"
 #include "relaymodel/fleet_types.h"
 
 namespace jujubefront {
@@ -71,6 +72,13 @@
   // The operator appends a document of this version to the store.
   void PutDocument(std::uint64_t version);
   void RestoreStore(const FleetStoreRestore& restore);
+  // Disturbs all hosts that read the store, and all others but some. Returns
+  // the hosts, for EndReaderFault().
+  std::vector<std::size_t> BeginReaderFault(const FleetReaderFault& fault);
+  void EndReaderFault(ReaderFault fault, const std::vector<std::size_t>& hosts);
+  // Records the versions in force; to be called regularly.
+  void AuditDocuments();
+  const DocumentAudit& document_audit() const { return document_audit_; }
   // Whether all relays have this version or a later one in force.
   bool IsInForce(std::uint64_t version) const;
   std::uint64_t store_calls() const { return store_calls_; }
@@ -134,6 +142,10 @@
   void SendWithoutRelays(const FleetRoute& route, std::string trace_id,
                          Duration remaining, std::size_t from,
                          AnswerHandler handler);
+  // The store does not answer a call of a host, which therefore fails after
+  // this time. Returns false if it does answer.
+  bool LoseStoreCall(std::size_t index, StoreCall call, Duration wait);
+  void LoseWaitingPoll(std::size_t index);
   void ReadNewestDocument(std::size_t index);
   void PollDocuments(std::size_t index, const AwaitTable& poll);
   // Answers a poll with the documents from its offset on.
@@ -168,6 +180,7 @@
       answer_handlers_;                  // by request id
   std::vector<Connection> connections_;  // by id, never reused
   std::set<std::string> partitioned_zones_;
+  std::set<std::size_t> cut_off_hosts_;
   std::map<std::string, double> rejections_;  // share by service
   std::map<std::string, Arrivals> arrivals_;
   std::map<std::string, CrashingRuns> crashing_bodies_;
@@ -182,10 +195,12 @@
     std::size_t host_ = 0;
     std::uint64_t process_ = 0;
     std::uint64_t from_ = 0;
+    Timestamp fails_at_;  // without an answer until then
   };
   std::map<std::uint64_t, Poll> polls_;
   std::uint64_t last_poll_ = 0;
   std::uint64_t store_calls_ = 0;
+  DocumentAudit document_audit_;
   // What the store keeps for condemned contents; it outlives all hosts.
   struct SavedCharges {
     Timestamp at_;
--- a/src/relaymodel/fleet_types.h
+++ b/src/relaymodel/fleet_types.h
@@ -147,6 +147,22 @@
   bool breaks_calls_ = false;
 };
 
+// How the nodes that read the store are disturbed.
+enum class ReaderFault : std::uint8_t {
+  kSilentStore,  // the store does not answer them
+  kFrozen,       // their processes stand still
+  kCutOff,       // they reach the store, but no other host
+};
+
+// A period in which all nodes that read the store when it begins are disturbed
+// together, and all other hosts but some.
+struct FleetReaderFault {
+  ReaderFault fault_ = ReaderFault::kSilentStore;
+  Duration from_ = Duration::zero();
+  Duration to_ = Duration::zero();
+  std::size_t spared_ = 1000;  // hosts that are no readers
+};
+
 struct FleetRunOptions {
   std::uint64_t seed_ = 1;
   Duration length_ = std::chrono::seconds(20);
@@ -159,6 +175,7 @@
   std::vector<FleetRateLimit> rate_limits_;
   std::vector<FleetDocument> documents_;  // in order
   std::vector<FleetStoreRestore> store_restores_;
+  std::vector<FleetReaderFault> reader_faults_;
   // All requests of a route have the same content; otherwise no two do.
   bool identical_requests_ = true;
   double base_factor_ = 1.0;
@@ -193,6 +210,8 @@
   // Time from the last document until it is in force at all hosts; nullopt: not
   // within the run.
   std::optional<Duration> document_delay_;
+  // Longest time for which a host in touch with the store lacked a document.
+  Duration max_document_delay_ = Duration::zero();
   std::uint64_t store_calls_ = 0;  // of all relays
   // Largest use of a rate limit, see RateLimitAudit.
   double rate_limit_use_ = 0.0;
