Store: no node relies on a reader that gets no answers

Cause: a node counted as a reader from the start of its poll until the poll had timed out, 5.5 s at 16 hosts and up to 13.5 s at 291, and nobody checked that the store answered it. Ruled out: documents refused (no input_unreadable line), documents handed on late (no host had them).

Statuses now carry the age of a node's latest answer of the store. Each node keeps the time as of which it has the newest document, by its own answers and by those of peers with the same document, and reads itself when that is 0.54 of the bound `config` old, by rank within its zone up to 0.7. A poll lasts 0.6 of the bound, whatever the fleet's size, and the polls of a zone end in turn; a reader without an answer for 0.9 is replaced. That a reader reads is a state of its own now, not whether a poll is under way: between a document and the next poll others took it for gone and read too.

--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -203,7 +203,9 @@
   const Distance distance = DistanceTo(options, peer.status_);
   const int hosts =
       peer_counts.by_distance_.at(static_cast<std::size_t>(distance));
-  const int idle_factor = IsBusy(step.state_) ? 1 : kIdleIntervalFactor;
+  // The zone relies on what its readers report.
+  const bool is_idle = !IsBusy(step.state_) && !step.state_.store_.is_reader_;
+  const int idle_factor = is_idle ? kIdleIntervalFactor : 1;
   switch (distance) {
     case Distance::kSameZone:
       return std::max(options.zone_status_interval_ * idle_factor,
@@ -285,40 +287,50 @@
 
 HostStatus MakeStatus(RelayStep& step) {
   RelayState& state = step.state_;
-  HostStatus status{
-      .address_ = step.options_.address_,
-      .boot_ = step.options_.boot_,
-      .sequence_ = ++state.status_sequence_,
-      .sent_at_ = step.now_.time_since_epoch(),
-      .zone_ = step.options_.zone_,
-      .region_ = step.options_.region_,
-      .leaving_ = state.stopping_,
-      .service_ = state.backend_.service_.empty() ? step.options_.service_
-                                                  : state.backend_.service_,
-      .instance_ = state.backend_.instance_,
-      .backend_started_at_ms_ = state.backend_.started_at_ms_,
-      .backend_sequence_ = state.backend_.stated_leaving_
-                               ? kAnySequence
-                               : state.backend_.sequence_,
-      .backend_ = state.backend_.state_,
-      .slots_ = state.backend_.slots_,
-      .start_limit_ = FindStartLimit(step),
-      .running_ = state.running_,
-      .waiting_ = static_cast<std::uint32_t>(
-          static_cast<double>(state.waiting_.runs_.size()) +
-          state.refused_slots_),
-      .table_version_ = state.table_.version_,
-      .profiles_ = LocalProfiles(state),
-      .demands_ = LocalDemands(state),
-      .reads_store_ =
-          state.store_.available_ &&
-          (state.store_.waiting_ || step.now_ < state.store_.paused_until_),
-      .rejected_share_ = state.arrivals_.rejected_share_,
-      .suspicion_digest_ = state.content_watch_.known_.digest_,
-      .store_era_ = state.store_.era_.value_or(0)};
+  HostStatus status{.address_ = step.options_.address_,
+                    .boot_ = step.options_.boot_,
+                    .sequence_ = ++state.status_sequence_,
+                    .sent_at_ = step.now_.time_since_epoch(),
+                    .zone_ = step.options_.zone_,
+                    .region_ = step.options_.region_,
+                    .leaving_ = state.stopping_,
+                    .service_ = state.backend_.service_.empty()
+                                    ? step.options_.service_
+                                    : state.backend_.service_,
+                    .instance_ = state.backend_.instance_,
+                    .backend_started_at_ms_ = state.backend_.started_at_ms_,
+                    .backend_sequence_ = state.backend_.stated_leaving_
+                                             ? kAnySequence
+                                             : state.backend_.sequence_,
+                    .backend_ = state.backend_.state_,
+                    .slots_ = state.backend_.slots_,
+                    .start_limit_ = FindStartLimit(step),
+                    .running_ = state.running_,
+                    .waiting_ = static_cast<std::uint32_t>(
+                        static_cast<double>(state.waiting_.runs_.size()) +
+                        state.refused_slots_),
+                    .table_version_ = state.table_.version_,
+                    .profiles_ = LocalProfiles(state),
+                    .demands_ = LocalDemands(state),
+                    .reads_store_ = state.store_.is_reader_,
+                    .rejected_share_ = state.arrivals_.rejected_share_,
+                    .suspicion_digest_ = state.content_watch_.known_.digest_,
+                    .store_era_ = state.store_.era_.value_or(0)};
+  if (const auto& as_of = state.store_.document_as_of_) {
+    status.document_age_ = step.now_ - *as_of;
+  }
   return status;
 }
 
+void SendStatusToZone(RelayStep& step) {
+  const HostStatus status = MakeStatus(step);
+  for (auto& [address, peer] : step.state_.peers_) {
+    if (!peer.connected_ || !peer.known_) continue;
+    if (peer.status_.zone_ != step.options_.zone_) continue;
+    if (address != step.options_.address_) SendStatus(step, peer, status);
+  }
+}
+
 void BroadcastStatus(RelayStep& step) {
   const HostStatus status = MakeStatus(step);
   for (auto& [address, peer] : step.state_.peers_) {
@@ -362,7 +374,7 @@
   }
 }
 
-void OnStatus(RelayStep& step, std::uint64_t connection_id,
+void OnStatus(RelayStep& step, std::uint64_t connection_id, Duration transit,
               HostStatus& status) {
   if (status.address_.empty() || status.address_ == step.options_.address_) {
     return;
@@ -383,7 +395,12 @@
   if (restarted) peer.holds_.clear();
   ApplyLeaveNotice(step, peer, connection_id, status);
   OnPeerStoreEra(step, status.store_era_);
+  peer.document_as_of_.reset();
+  if (status.document_age_) {
+    peer.document_as_of_ = step.now_ - transit - *status.document_age_;
+  }
   SetStatus(step, peer, std::move(status));
+  OnPeerDocumentAge(step, peer);
   peer.sent_since_report_ = 0;
   peer.load_reported_at_ = step.now_;
   if (is_new || restarted) LogPeer(step, peer, is_new ? "known" : "restarted");
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -173,7 +173,9 @@
 
 // Returns the entry of a node; adds it and connects if it is new.
 Peer& EnsurePeer(RelayStep& step, const std::string& address);
-void OnStatus(RelayStep& step, std::uint64_t connection_id, HostStatus& status);
+// `transit` is the time for which the message was delayed on its way.
+void OnStatus(RelayStep& step, std::uint64_t connection_id, Duration transit,
+              HostStatus& status);
 void OnPeerConnected(RelayStep& step, const std::string& address);
 void OnPeerDisconnected(RelayStep& step, const std::string& address);
 void OnTableQuery(RelayStep& step, std::uint64_t connection_id,
@@ -182,6 +184,8 @@
 HostStatus MakeStatus(RelayStep& step);
 // Sends the status to all connected peers immediately.
 void BroadcastStatus(RelayStep& step);
+// Sends the status to all connected peers of the zone immediately.
+void SendStatusToZone(RelayStep& step);
 // Announces a new document with a status message to peers with an older one:
 // all of the local zone, and the first hosts of the other zones, which forward
 // it.
@@ -242,6 +246,8 @@
 void OnStoreEra(RelayStep& step, std::uint64_t era);
 void OnTableRead(RelayStep& step, TableRead& read);
 void OnTableOffset(RelayStep& step, const TableOffset& offset);
+// A peer has stated as of when it had the newest document.
+void OnPeerDocumentAge(RelayStep& step, const Peer& peer);
 // A peer has seen this era of the store.
 void OnPeerStoreEra(RelayStep& step, std::uint64_t era);
 void OnNodesRead(RelayStep& step, const NodesRead& read);
@@ -251,7 +257,7 @@
 void OnStoreFailed(RelayStep& step, const StoreFailed& failed);
 // Repeats a failed call after its waiting time.
 void RepeatStoreCall(RelayStep& step, StoreCall call);
-// Starts a poll if this node is a reader and none is in progress.
+// Starts a poll if this node is a reader, or has to read as nobody else does.
 void TickStore(RelayStep& step);
 
 // Planned stop and readiness.
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -12,6 +12,17 @@
 constexpr Duration kMinAnnounceSpread = std::chrono::seconds(1);
 constexpr Duration kAnnounceSpacing = std::chrono::milliseconds(10);
 
+// Shares of the time within which a document must be in force. A reader's poll
+// lasts kPollShare; with two readers a zone has an answer in half of it. From
+// an age of kMaxAgeShare on, the other nodes of the zone read themselves, the
+// last one kTakeoverShare later. What is left is for that read, a repeat of it,
+// and decoding.
+constexpr double kPollShare = 0.6;
+constexpr double kMaxAgeShare = 0.54;
+constexpr double kTakeoverShare = 0.16;
+// A poll and the report of its end.
+constexpr double kMaxReaderAgeShare = 0.9;
+
 std::string_view CallName(StoreCall call) {
   switch (call) {
     case StoreCall::kReadTable:
@@ -57,48 +68,90 @@
                 static_cast<std::uint64_t>(call));
 }
 
-// Duration of a poll. It grows with the number of polling nodes: if an outage
-// makes the store lose its waiting polls, the poll of some node still ends
-// soon, and peers forward the document from there.
-Duration ComputePollWait(const RelayStep& step) {
-  const RelayOptions& options = step.options_;
-  const auto readers =
-      1 + std::count_if(step.state_.peers_.begin(), step.state_.peers_.end(),
-                        [](const auto& entry) {
-                          return entry.second.status_.reads_store_;
-                        });
-  return std::clamp(options.poll_stagger_ * readers, options.min_poll_wait_,
-                    options.max_poll_wait_);
+Duration ShareOf(Duration whole, double share) {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(whole.count()) * share));
+}
+
+bool IsZonePeer(const RelayStep& step, const Peer& peer) {
+  return peer.address_ != step.options_.address_ && peer.connected_ &&
+         !peer.suspected_ && peer.known_ && !peer.status_.leaving_ &&
+         peer.status_.zone_ == step.options_.zone_;
+}
+
+// Age of what is known of the store's newest document at which this node reads
+// it itself. Nodes of a zone begin one after the other, so that the first one
+// that gets an answer saves the others the call.
+Duration MaxDocumentAge(const RelayStep& step) {
+  const std::uint64_t local_hash = HashBytes(step.options_.address_);
+  double nodes = 1.0;
+  double rank = 0.0;
+  for (const auto& [address, peer] : step.state_.peers_) {
+    if (!IsZonePeer(step, peer)) continue;
+    nodes += 1.0;
+    if (HashBytes(address) < local_hash) rank += 1.0;
+  }
+  return ShareOf(step.options_.document_deadline_,
+                 kMaxAgeShare + kTakeoverShare * rank / nodes);
 }
 
-// Whether this node polls for documents itself. Nodes of a zone that see each
-// other agree on the readers (lowest address hashes); a node that sees too few
-// readers becomes one.
-bool IsReader(const RelayStep& step) {
+struct ReadersBefore {
+  std::uint32_t count_ = 0;
+  std::uint64_t first_hash_ = UINT64_MAX;
+  Timestamp first_as_of_;  // latest answer of the store to the first of them
+};
+
+// Readers of the zone that go before this node, by address hash. One that has
+// had no answer of the store for longer than a poll takes does not count.
+ReadersBefore FindReadersBefore(const RelayStep& step) {
+  const Duration max_age =
+      ShareOf(step.options_.document_deadline_, kMaxReaderAgeShare);
   const std::uint64_t local_hash = HashBytes(step.options_.address_);
-  std::uint32_t before = 0;
+  ReadersBefore before;
   for (const auto& [address, peer] : step.state_.peers_) {
-    if (address == step.options_.address_ || !peer.connected_) continue;
-    if (peer.suspected_ || !peer.known_ || peer.status_.leaving_) continue;
-    if (peer.status_.zone_ != step.options_.zone_) continue;
-    if (peer.status_.reads_store_ && HashBytes(address) < local_hash) ++before;
+    if (!IsZonePeer(step, peer) || !peer.status_.reads_store_) continue;
+    if (!peer.document_as_of_) continue;
+    if (step.now_ - *peer.document_as_of_ > max_age) continue;
+    const std::uint64_t hash = HashBytes(address);
+    if (hash >= local_hash) continue;
+    ++before.count_;
+    if (hash > before.first_hash_) continue;
+    before.first_hash_ = hash;
+    before.first_as_of_ = *peer.document_as_of_;
   }
-  return before < step.options_.store_readers_per_zone_;
+  return before;
 }
 
-// Time since this node's latest answer of the store; -1: there was none.
+// Time since an answer of the store showed that this node has the newest
+// document; -1: there was none.
 std::int64_t AnswerAge(const RelayStep& step) {
-  const auto& answered_at = step.state_.store_.answered_at_;
-  return answered_at ? (step.now_ - *answered_at).count() : -1;
+  const auto& as_of = step.state_.store_.document_as_of_;
+  return as_of ? (step.now_ - *as_of).count() : -1;
 }
 
 void RecordReaderChange(RelayStep& step, bool is_reader) {
   step.state_.store_.is_reader_ = is_reader;
-  step.effects_.emplace_back(
-      Decision{.kind_ = DecisionKind::kReaderChanged,
-               .trace_id_ = {},
-               .inputs_ = {{"reads", std::int64_t{is_reader}},
-                           {"answer_age_us", AnswerAge(step)}}});
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kReaderChanged,
+      .trace_id_ = {},
+      .inputs_ = {{"reads", std::int64_t{is_reader}},
+                  {"answer_age_us", AnswerAge(step)},
+                  {"known_age_us",
+                   (step.now_ - step.state_.store_.known_as_of_).count()}}});
+}
+
+// Duration of a poll, such that the polls of a zone's readers end in equal
+// intervals. A document ends them all at the same time.
+Duration ComputePollWait(const RelayStep& step) {
+  const Duration full = ShareOf(step.options_.document_deadline_, kPollShare);
+  const ReadersBefore before = FindReadersBefore(step);
+  const std::uint32_t readers = step.options_.store_readers_per_zone_;
+  if (before.count_ == 0 || before.count_ >= readers) return full;
+  const Duration offset = full * before.count_ / readers;
+  if (!step.state_.store_.polled_in_full_) return offset;
+  Duration wait = offset - (step.now_ - before.first_as_of_);
+  while (wait < full / 4) wait += full;
+  return wait;
 }
 
 // Polls the store for documents after the last offset. After a failure the
@@ -107,10 +160,18 @@
 void StartPoll(RelayStep& step) {
   StoreState& store = step.state_.store_;
   store.waiting_ = true;
+  store.poll_wait_ =
+      store.poll_at_once_ ? Duration::zero() : ComputePollWait(step);
+  store.call_valid_until_ = step.now_ + store.poll_wait_;
   ++step.state_.counters_.store_calls_;
-  step.effects_.emplace_back(AwaitTable{
-      .from_ = store.next_offset_.value_or(0),
-      .wait_ = store.poll_at_once_ ? Duration::zero() : ComputePollWait(step)});
+  step.effects_.emplace_back(AwaitTable{.from_ = store.next_offset_.value_or(0),
+                                        .wait_ = store.poll_wait_});
+}
+
+void SendRead(RelayStep& step) {
+  step.state_.store_.call_valid_until_ = step.now_;
+  ++step.state_.counters_.store_calls_;
+  step.effects_.emplace_back(ReadTable{});
 }
 
 // Reads the document, and with it an offset of the store's present era.
@@ -118,8 +179,19 @@
   StoreState& store = step.state_.store_;
   if (store.reading_) return;
   store.reading_ = true;
-  ++step.state_.counters_.store_calls_;
-  step.effects_.emplace_back(ReadTable{});
+  SendRead(step);
+}
+
+// The store has answered a read or a poll for documents.
+void RecordDocumentAnswer(RelayStep& step) {
+  StoreState& store = step.state_.store_;
+  const bool was_overdue =
+      step.now_ - store.known_as_of_ >
+      ShareOf(step.options_.document_deadline_, kMaxAgeShare);
+  store.document_as_of_ = std::min(step.now_, store.call_valid_until_);
+  store.known_as_of_ = std::max(store.known_as_of_, *store.document_as_of_);
+  // Otherwise the zone's other nodes would soon read as well.
+  if (was_overdue) SendStatusToZone(step);
 }
 
 void StopPoll(RelayStep& step) {
@@ -172,7 +244,6 @@
 void RecordStoreAnswer(RelayStep& step) {
   StoreState& store = step.state_.store_;
   store.retry_wait_ = Duration::zero();
-  store.answered_at_ = step.now_;
   if (store.available_) return;
   store.available_ = true;
   step.effects_.emplace_back(Decision{
@@ -182,12 +253,11 @@
 }
 
 void StartStore(RelayStep& step) {
-  step.state_.counters_.store_calls_ += 3;
+  step.state_.counters_.store_calls_ += 2;
   // Before the document: without one the node runs nothing, so that in general
   // it knows the condemned contents when it runs its first request.
   step.effects_.emplace_back(ReadCharges{});
-  step.state_.store_.reading_ = true;
-  step.effects_.emplace_back(ReadTable{});
+  StartRead(step);
   step.effects_.emplace_back(AnnounceNode{});
 }
 
@@ -260,15 +330,33 @@
   store.next_offset_ = offset.next_;
   store.waiting_ = false;
   store.poll_at_once_ = false;
+  store.polled_in_full_ = offset.polled_ &&
+                          store.poll_wait_ > Duration::zero() &&
+                          step.now_ >= store.call_valid_until_;
+  RecordDocumentAnswer(step);
   TickStore(step);
 }
 
+void OnPeerDocumentAge(RelayStep& step, const Peer& peer) {
+  if (!peer.document_as_of_) return;
+  if (peer.status_.table_version_ > step.state_.table_.version_) return;
+  Timestamp& known = step.state_.store_.known_as_of_;
+  known = std::max(known, *peer.document_as_of_);
+}
+
 void TickStore(RelayStep& step) {
   StoreState& store = step.state_.store_;
   if (store.waiting_ || store.reading_) return;
-  const bool is_reader = IsReader(step);
+  // Nodes of a zone that see each other agree on the readers; one that sees too
+  // few becomes a reader.
+  const bool is_reader =
+      FindReadersBefore(step).count_ < step.options_.store_readers_per_zone_;
   if (is_reader != store.is_reader_) RecordReaderChange(step, is_reader);
-  if (!is_reader || step.now_ < store.paused_until_) return;
+  // A reader may get documents, and be unable to hand them on.
+  const bool is_overdue = step.now_ - store.known_as_of_ > MaxDocumentAge(step);
+  if (!is_reader && !is_overdue) return;
+  if (step.now_ < store.paused_until_) return;
+  store.poll_at_once_ |= is_overdue;
   store.next_offset_ ? StartPoll(step) : StartRead(step);
 }
 
@@ -319,8 +407,8 @@
     return;
   }
   if (call == StoreCall::kSaveCharges) return SaveNextCharges(step);
+  if (call == StoreCall::kReadTable) return SendRead(step);
   ++step.state_.counters_.store_calls_;
-  if (call == StoreCall::kReadTable) step.effects_.emplace_back(ReadTable{});
   if (call == StoreCall::kAnnounce) step.effects_.emplace_back(AnnounceNode{});
   if (call == StoreCall::kReadNodes) step.effects_.emplace_back(ReadNodes{});
   if (call == StoreCall::kReadCharges) {
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -71,6 +71,9 @@
   double rejected_share_ = 0.0;
   std::uint64_t suspicion_digest_ = 0;  // equal digests: equal suspicions
   std::uint64_t store_era_ = 0;  // of the store's latest answer; 0: unknown
+  // Time since the sender knew, from an answer of the store itself, that it has
+  // the newest document; nullopt: it never did.
+  std::optional<Duration> document_age_;
 };
 
 inline double UsableSlots(const HostStatus& status) {
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -78,8 +78,8 @@
   }
   const std::uint64_t connection = received.connection_id_;
   if (auto* status = std::get_if<HostStatus>(&received.message_)) {
-    MessageAge(step, connection, status->sent_at_);
-    OnStatus(step, connection, *status);
+    const Duration transit = MessageAge(step, connection, status->sent_at_);
+    OnStatus(step, connection, transit, *status);
   } else if (auto* order = std::get_if<RunOrder>(&received.message_)) {
     const Duration age = MessageAge(step, connection, order->sent_at_);
     order->remaining_ -= age;
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -100,12 +100,9 @@
   Duration forget_after_ = std::chrono::minutes(2);
   Duration store_retry_interval_ = std::chrono::milliseconds(400);
   Duration max_store_retry_interval_ = std::chrono::seconds(2);
-  // The polls of all nodes are spread so that one ends about every
-  // poll_stagger_; a single poll lasts between min_poll_wait_ and
-  // max_poll_wait_.
-  Duration poll_stagger_ = std::chrono::milliseconds(300);
-  Duration min_poll_wait_ = std::chrono::seconds(4);
-  Duration max_poll_wait_ = std::chrono::seconds(12);
+  // Time from its acknowledgement by the store within which a document must be
+  // in force at every node that reaches the store.
+  Duration document_deadline_ = std::chrono::milliseconds(2500);
   // Planned stop: the node still accepts clients for stop_linger_, and exits
   // after stop_limit_ at the latest.
   Duration stop_linger_ = std::chrono::milliseconds(3200);
@@ -285,6 +282,8 @@
   HostStatus status_;
   bool known_ = false;  // a status has been received
   Timestamp status_at_;
+  // As of when it had the newest document, by its latest status.
+  std::optional<Timestamp> document_as_of_;
   Timestamp version_seen_at_;  // when its table version was first received
   std::uint64_t status_connection_ = 0;  // on which the status was received
   bool connected_ = false;
@@ -374,7 +373,15 @@
   // rely on other readers of their zone.
   bool waiting_ = false;
   bool is_reader_ = false;  // this node polls, as of the last decision on it
-  std::optional<Timestamp> answered_at_;  // latest answer of the store
+  // As of when the answer to the read or poll in progress will be valid at the
+  // latest: an answer that is read late does not show what came meanwhile.
+  Timestamp call_valid_until_;
+  Duration poll_wait_ = Duration::zero();  // of the poll in progress
+  bool polled_in_full_ = false;            // the last poll ended with its wait
+  // As of when this node had the newest document: by the store's answers to
+  // itself, and by those to peers that have the same document.
+  std::optional<Timestamp> document_as_of_;
+  Timestamp known_as_of_;
   Duration retry_wait_ = Duration::zero();
   bool available_ = true;
   Timestamp failed_since_;
--- a/src/relay/tests/scale_tests.cc
+++ b/src/relay/tests/scale_tests.cc
@@ -18,7 +18,8 @@
           .instance_ = "i-" + std::to_string(number),
           .backend_ = BackendState::kReady,
           .slots_ = 4,
-          .reads_store_ = true};
+          .reads_store_ = true,
+          .document_age_ = Duration::zero()};
 }
 
 // Adds other hosts, connected in both directions, that all wait for documents
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -139,6 +139,7 @@
   suspicionDigest @20 :UInt64;
   startLimit @21 :StartLimit;
   storeEra @22 :UInt64;
+  documentAgeMs @23 :UInt32 = 0xffffffff;  # the default: unknown
 }
 
 struct Order {
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -12,6 +12,14 @@
 namespace jujubefront {
 namespace {
 
+// Age in milliseconds on the wire that stands for an unknown one.
+constexpr std::uint32_t kUnknownAgeMs = 0xffffffff;
+
+std::uint32_t ToMilliseconds(Duration age) {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      age / std::chrono::milliseconds(1), 0, UINT32_MAX));
+}
+
 capnp::Text::Reader ToText(const std::string& text) {
   return {text.c_str(), text.size()};
 }
@@ -177,6 +185,9 @@
   builder.setBackendSequence(status.backend_sequence_);
   builder.setSuspicionDigest(status.suspicion_digest_);
   builder.setStoreEra(status.store_era_);
+  if (status.document_age_) {
+    builder.setDocumentAgeMs(ToMilliseconds(*status.document_age_));
+  }
   if (status.start_limit_) {
     Write(builder.initStartLimit(), *status.start_limit_);
   }
@@ -210,6 +221,9 @@
   status.backend_sequence_ = reader.getBackendSequence();
   status.suspicion_digest_ = reader.getSuspicionDigest();
   status.store_era_ = reader.getStoreEra();
+  if (reader.getDocumentAgeMs() != kUnknownAgeMs) {
+    status.document_age_ = std::chrono::milliseconds(reader.getDocumentAgeMs());
+  }
   if (reader.hasStartLimit()) {
     status.start_limit_ = Read(reader.getStartLimit());
   }
@@ -231,11 +245,6 @@
           .gone_ = reader.getGone()};
 }
 
-std::uint32_t ToMilliseconds(Duration age) {
-  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-      age / std::chrono::milliseconds(1), 0, UINT32_MAX));
-}
-
 void Write(linkwire::Message::Builder message, const SuspicionNotice& notice) {
   auto builder = message.initSuspicion();
   auto charges =
--- a/src/relaylink/tests/relaylink_tests.cc
+++ b/src/relaylink/tests/relaylink_tests.cc
@@ -23,7 +23,8 @@
                     .zone_ = "z",
                     .backend_ = BackendState::kDraining,
                     .slots_ = 9,
-                    .reads_store_ = true};
+                    .reads_store_ = true,
+                    .document_age_ = std::chrono::milliseconds(300)};
   status.profiles_.push_back({.route_ = "r",
                               .service_ = "",
                               .runs_ = 4,
