HTTP client: a repeat never uses the connection of its first send

Report of other operators: a faulty server wrote an earlier refusal once more, and clients were told "not run" for requests that it ran. Possible here: after a rejection the host's relay repeats the run at once under the same id, and the client handed out the connection that was used last. A second copy of the refusal there matches the id and was taken for the answer to the repeat, so that the entry said "not run", or sent a booking to a second host, while the server ran it.

Only the connection tells the two answers apart. Each connection keeps the hashes of the requests that it has carried, for 30 to 60 s, and is not reused for a repeat of one.

--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <unordered_set>
+
+#include "base/hashing.h"
 
 namespace jujubefront {
 namespace {
@@ -13,6 +16,9 @@
 // Responses with another request's correlation header that are skipped before
 // the connection is treated as broken.
 constexpr int kMaxMismatchedResponses = 3;
+// A connection is not reused for a repeat of a request that it has carried for
+// at least this long. Repeats come within the time of the request.
+constexpr Duration kCarriedMemory = std::chrono::seconds(30);
 
 using Clock = std::chrono::steady_clock;
 
@@ -32,6 +38,32 @@
   return std::chrono::seconds(seconds);
 }
 
+// Requests that a connection has carried, by the hash of their correlation
+// value. Forgets them after one to two times kCarriedMemory.
+class CarriedRequests {
+ public:
+  void Add(const std::string& correlation) {
+    if (correlation.empty()) return;
+    const auto now = Clock::now();
+    if (now - since_ > kCarriedMemory) {
+      earlier_ = std::exchange(recent_, {});
+      since_ = now;
+    }
+    recent_.insert(HashBytes(correlation));
+  }
+
+  bool Contains(const std::string& correlation) const {
+    if (correlation.empty()) return false;
+    const std::uint64_t hash = HashBytes(correlation);
+    return recent_.contains(hash) || earlier_.contains(hash);
+  }
+
+ private:
+  std::unordered_set<std::uint64_t> recent_;
+  std::unordered_set<std::uint64_t> earlier_;
+  Clock::time_point since_ = Clock::now();
+};
+
 }  // namespace
 
 struct Http1Client::Connection {
@@ -45,6 +77,7 @@
   bool request_written_ = false;
   std::string pending_request_;  // request to send once connected
   std::string correlation_;
+  CarriedRequests carried_;
   int mismatched_responses_ = 0;
   Clock::time_point idle_until_;
 };
@@ -67,16 +100,20 @@
   while (!idle_.empty()) Remove(*idle_.back());
 }
 
-Http1Client::Connection* Http1Client::TakeIdle() {
+// The server may still send a second copy of its response to an earlier request
+// of the connection. If the same request were repeated there, that copy could
+// not be told from the response to the repeat.
+Http1Client::Connection* Http1Client::TakeIdle(const std::string& correlation) {
   const auto now = Clock::now();
-  while (!idle_.empty()) {
-    Connection* connection = idle_.back();
-    if (connection->idle_until_ > now &&
-        !connection->socket_->HasPendingEnd()) {
-      idle_.pop_back();
+  for (std::size_t i = idle_.size(); i-- > 0;) {
+    Connection* connection = idle_[i];
+    if (connection->idle_until_ <= now ||
+        connection->socket_->HasPendingEnd()) {
+      Remove(*connection);
+    } else if (!connection->carried_.Contains(correlation)) {
+      idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i));
       return connection;
     }
-    Remove(*connection);
   }
   return nullptr;
 }
@@ -108,7 +145,12 @@
 }
 
 void Http1Client::Send(std::uint64_t call_id, const Http1Request& request) {
-  Connection* connection = TakeIdle();
+  const std::string* header =
+      options_.correlation_header_.empty()
+          ? nullptr
+          : FindHeader(request.headers_, options_.correlation_header_);
+  const std::string correlation = header == nullptr ? "" : *header;
+  Connection* connection = TakeIdle(correlation);
   if (connection == nullptr) connection = OpenNew();
   if (connection == nullptr) {
     QTimer::singleShot(0, this, [this, call_id] {
@@ -122,11 +164,8 @@
   connection->mismatched_responses_ = 0;
   connection->reader_ = std::make_unique<Http1ResponseReader>(
       options_.limits_, request.method_ == "HEAD");
-  const std::string* correlation =
-      options_.correlation_header_.empty()
-          ? nullptr
-          : FindHeader(request.headers_, options_.correlation_header_);
-  connection->correlation_ = correlation == nullptr ? "" : *correlation;
+  connection->correlation_ = correlation;
+  connection->carried_.Add(correlation);
   std::string text = WriteRequest(request);
   if (connection->socket_->connected()) {
     connection->request_written_ = true;
