HTTP client: answers cut off at any byte are tested

Report of other operators: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body. Not reproduced: with the close at every byte of an answer with a length, in chunks, without a length, and after an interim response, over sockets, only a whole one is taken.

--- a/src/http1/tests/connection_tests.cc
+++ b/src/http1/tests/connection_tests.cc
@@ -270,6 +270,7 @@
   CPPUNIT_TEST_SUITE(ConnectionTests);
   CPPUNIT_TEST(TellsWholeResponsesFromBrokenOnes);
   CPPUNIT_TEST(SecondCopyOfAnAnswerIsNotTakenForTheRepeats);
+  CPPUNIT_TEST(AnswersCutOffAnywhereAreNotWhole);
   CPPUNIT_TEST(RefusedConnectionsAreReported);
   CPPUNIT_TEST(ClosedIdleConnectionsAreNotReused);
   CPPUNIT_TEST(ProbesReportWhetherAServerListens);
@@ -383,6 +384,41 @@
     }
   }
 
+  // A server stops in the middle of its answer and closes the connection. Only
+  // an answer without a length is whole then, once its header is.
+  void AnswersCutOffAnywhereAreNotWhole() {
+    struct Row {
+      const char* name_;
+      std::string script_;
+      std::size_t whole_from_;  // bytes
+    };
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nX-Id: 7\r\n\r\n";
+    const std::string good = Response("7", "abc");
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n";
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\n\r\n";
+    const Row rows[] = {{"length", good, good.size()},
+                        {"length, after an interim response", interim + good,
+                         interim.size() + good.size()},
+                        {"chunks", chunked, chunked.size()},
+                        {"no length", head + "abc", head.size()},
+                        {"no length, after an interim response",
+                         interim + head + "abc", interim.size() + head.size()}};
+    EnsureApplication();
+    for (const Row& row : rows) {
+      for (std::size_t size = 0; size <= row.script_.size(); ++size) {
+        ScriptedServer server(row.script_.substr(0, size), ServerEnd::kCloses);
+        Caller caller(server.address());
+        const int status = caller.Call().status_;
+        const std::string text =
+            std::string(row.name_) + ", " + std::to_string(size) + " bytes";
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, size >= row.whole_from_ ? 200 : 0,
+                                     status);
+      }
+    }
+  }
+
   void BackendServerThatSendsWithoutEndHarmsNobodyElse() {
     EnsureApplication();
     std::vector<EndlessPart> parts = EndlessParts();
