Adapter: numbers and addresses of entries are checked for their range

Report of other operators: one odd entry among those of the targets, deeply nested, with a number too large or a port out of range, ended the processes that read the list, or stopped them from following it. Here no process ended: Qt's reader of JSON refuses nesting over 1,024 levels and numbers that it cannot hold. But a heartbeat was believed that had slots (cut to 0: the backend server gets nothing), a start far in the future or a sequence number of 2^53 (every later heartbeat of the true incarnation counts as an earlier one: the backend server is lost for good). A key of the list of nodes that is no address was tried as a peer for two minutes.

Such heartbeats get 400 and a line input_unreadable, as others that cannot be read; such keys are skipped with a line.

--- a/fuzz/fuzz_platform.cc
+++ b/fuzz/fuzz_platform.cc
@@ -22,7 +22,7 @@
       }
       break;
     case 1:
-      DecodeHeartbeat("instance", bytes);
+      DecodeHeartbeat(jujubefront::WallTime{}, "instance", bytes);
       break;
     case 2:
       if (const auto records = DecodeRecords(bytes)) {
--- a/src/netio/tcp_connection.cc
+++ b/src/netio/tcp_connection.cc
@@ -81,6 +81,12 @@
   return true;
 }
 
+bool IsReachableAddress(std::string_view address) {
+  std::uint32_t ip = 0;
+  std::uint16_t port = 0;
+  return ParseAddress(address, ip, port) && port != 0;
+}
+
 TcpConnection* TcpConnection::Adopt(int descriptor,
                                     const SilenceOptions& silence) {
   return new TcpConnection(descriptor, true, silence);
--- a/src/netio/tcp_connection.h
+++ b/src/netio/tcp_connection.h
@@ -112,6 +112,9 @@
 bool ParseAddress(std::string_view address, std::uint32_t& ip,
                   std::uint16_t& port);
 
+// Whether a process can be reached at "IP:port": port 0 is none.
+bool IsReachableAddress(std::string_view address);
+
 }  // namespace jujubefront
 
 #endif  // JUJUBEFRONT_NETIO_TCP_CONNECTION_H_
--- a/src/sidecar/charge_record.h
+++ b/src/sidecar/charge_record.h
@@ -1,19 +1,15 @@
 #ifndef JUJUBEFRONT_SIDECAR_CHARGE_RECORD_H_
 #define JUJUBEFRONT_SIDECAR_CHARGE_RECORD_H_
 
-#include <chrono>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "relay/message_types.h"
+#include "sidecar/wall_time.h"
 
 namespace jujubefront {
 
-// Time of day, which all hosts share up to the skew of their clocks.
-using WallTime = std::chrono::time_point<std::chrono::system_clock,
-                                         std::chrono::milliseconds>;
-
 // Encodes the charges of one content as a record that the store keeps (JSON).
 // Ages are relative to `now`.
 std::string EncodeChargeRecord(WallTime now,
--- a/standins/platform/path_tests.cc
+++ b/standins/platform/path_tests.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(AppliesDocumentsDespiteStoreOutages);
   CPPUNIT_TEST(SurvivesKilledAndPausedPeers);
   CPPUNIT_TEST(CrashingContentIsRefusedOnAllHosts);
+  CPPUNIT_TEST(OddEntriesHarmNobody);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -149,6 +150,59 @@
     CPPUNIT_ASSERT(refused >= 8);
   }
 
+  // Another writer leaves entries in the list of nodes, and sends heartbeats,
+  // that are no targets. The process that reads them must not end, nor stop
+  // reading the others.
+  void OddEntriesHarmNobody() {
+    Deployment deployment;
+    const std::string deep(20'000, '[');
+    for (const char* key : {"", "{", "10.0.0.1:70000", "10.0.0.1:0",
+                            "999.0.0.1:80", "10.0.0.1:18446744073709551617"}) {
+      deployment.hosts_.store().Append("keyed.relays", key, deep);
+    }
+    SidecarHost& host = deployment.host(1);
+    host.process_->kill();
+    host.process_->waitForFinished();
+    deployment.hosts_.StartProcess(host);
+    const auto beat = [](const std::string& fields) {
+      return R"({"service":"jobs","zone":"z","version":"v","state":"ready",)"
+             R"("cold_left":"0ms",)" +
+             fields + "}";
+    };
+    const std::string address = R"("address":")" + host.app() + R"(",)";
+    const std::string bodies[] = {
+        deep,
+        beat(address + R"("slots":1,"seq":1,"born":)" + deep),
+        beat(address + R"("slots":4294967296,"seq":1,"born":1)"),
+        beat(address + R"("slots":1,"seq":1,"born":9007199254740992)"),
+        beat(address + R"("slots":1,"seq":1e400,"born":1)"),
+        beat(R"("address":"10.0.0.1:70000","slots":1,"seq":1,"born":1)"),
+        std::string("\0\xff\xfe", 3)};
+    for (const std::string& body : bodies) {
+      WaitUntil(std::chrono::milliseconds(100), [] { return false; });
+      const int status =
+          Fetch(host.control(),
+                {.method_ = "POST",
+                 .target_ = "/jujubefront/rpc?call=instances.heartbeat&of=odd",
+                 .body_ = body})
+              .status_;
+      CPPUNIT_ASSERT_MESSAGE(body.substr(0, 200), status == 400);
+    }
+    for (const SidecarHost& each : deployment.hosts_.hosts()) {
+      CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(10), [&] {
+        return Fetch(each.clients(), Client("after", "/read/1")).status_ == 200;
+      }));
+      CPPUNIT_ASSERT(each.process_->state() == QProcess::Running);
+    }
+    const std::string metrics =
+        Fetch(host.metrics(), {.method_ = "GET", .target_ = "/metrics"}).body_;
+    const std::string name = "\njujubefront_relay_inputs_unreadable_total ";
+    const auto at = metrics.find(name);
+    CPPUNIT_ASSERT(at != std::string::npos);
+    CPPUNIT_ASSERT(std::stoul(metrics.substr(at + name.size())) >=
+                   std::size(bodies));
+  }
+
   void ReportsFailuresOfBackendServers() {
     struct Row {
       const char* name_;
--- a/standins/platform/store_standin.h
+++ b/standins/platform/store_standin.h
@@ -29,6 +29,10 @@
   // Appends a new version of the operators' document.
   void PutDocument(const std::string& text);
 
+  // Appends a record to a topic; an empty value deletes the key.
+  void Append(const std::string& topic, const std::string& key,
+              const std::string& value);
+
   // Drops all records from the log; the newest of each key stay readable as a
   // snapshot, and reads from an older offset get 410.
   void Compact();
@@ -60,8 +64,6 @@
   void OnRequest(std::uint64_t id, const Http1Request& request);
   // Answers with the era.
   void Answer(std::uint64_t id, Http1Response response);
-  void Append(const std::string& topic, const std::string& key,
-              const std::string& value);
   Http1Response Newest(const std::string& topic) const;
   Http1Response Read(const std::string& topic, std::uint64_t from) const;
 
