Store: a record that cannot be read does not end reading

One record whose content is no key and value made the whole read unreadable; all readers repeated it from the same offset until the store dropped that record, and no document after it came into force.

The lengths of the records frame them, so that one which cannot be read is logged, counted for the next offset and passed over. Where even the frame cannot be read, the newest document is read instead.

--- a/fuzz/fuzz_platform.cc
+++ b/fuzz/fuzz_platform.cc
@@ -27,8 +27,8 @@
     case 2:
       if (const auto records = DecodeRecords(bytes)) {
         std::size_t total = 0;
-        for (const KeyedRecord& record : *records) {
-          total += EncodeRecord(record).size();
+        for (const auto& record : *records) {
+          if (record) total += EncodeRecord(*record).size();
         }
         if (total > bytes.size()) std::abort();
         DecodeEnd(bytes);
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -388,7 +388,9 @@
                              {"answer_age_us", AnswerAge(step)}}});
   }
   const bool polled = failed.call_ == StoreCall::kAwaitTable;
-  const bool reread = polled && failed.fault_ == StoreFault::kHistoryLost;
+  // An answer that cannot be read would be the same at the next poll.
+  const bool reread = polled && (failed.fault_ == StoreFault::kHistoryLost ||
+                                 failed.fault_ == StoreFault::kUnreadable);
   // The poll was given up when its own answer showed a new era.
   if (polled && !store.waiting_) return;
   if (polled) store.poll_at_once_ = true;
--- a/src/relay/tests/relay_tests.cc
+++ b/src/relay/tests/relay_tests.cc
@@ -31,9 +31,9 @@
   }
 
   // A failed store call is retried after a pause. A wait for changes continues
-  // from its offset; only if the store has lost that part of its history is the
-  // document read again. Without the retry the node would keep an outdated
-  // document for good.
+  // from its offset; only if the store has lost that part of its history, or
+  // what follows cannot be read, is the document read again. Without the retry
+  // the node would keep an outdated document for good.
   void StoreFailuresAreRetried() {
     struct Row {
       const char* name_;
@@ -46,6 +46,9 @@
         {"wait failed, history lost",
          {.call_ = StoreCall::kAwaitTable, .fault_ = StoreFault::kHistoryLost},
          true},
+        {"wait returned what cannot be read",
+         {.call_ = StoreCall::kAwaitTable, .fault_ = StoreFault::kUnreadable},
+         true},
     };
     for (const Row& row : rows) {
       RelayHarness harness;
