Store: a read that a restore overtakes is repeated

A read of the document that was answered before the store came back from a copy may arrive after the answers of other calls that name the new era. Its own era then looked like one more restore, and its offset, which belongs to the earlier era, came into use: the next poll would wait at it.

An offset is taken only from a read during which the era has not changed. The test failed before: a poll started from offset 12 of the earlier era.

--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "base/hashing.h"
 #include "relay/internal/relay_step.h"
@@ -223,6 +224,7 @@
   StoreState& store = step.state_.store_;
   const bool was_waiting = store.waiting_;
   store.next_offset_.reset();
+  store.reads_again_ = store.reading_;
   StopPoll(step);
   if (was_waiting) StartRead(step);
   ScheduleAnnounce(step, era);
@@ -327,6 +329,7 @@
   // The poll was given up when its own answer showed a new era.
   if (offset.polled_ && !store.waiting_) return;
   if (!offset.polled_) store.reading_ = false;
+  if (std::exchange(store.reads_again_, false)) return StartRead(step);
   store.next_offset_ = offset.next_;
   store.waiting_ = false;
   store.poll_at_once_ = false;
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -367,6 +367,8 @@
   std::uint64_t heard_era_ = 0;       // highest that a peer has reported
   std::uint64_t announce_era_ = 0;    // for which this node lists itself again
   bool reading_ = false;  // the document is being read, which gives an offset
+  // The era has changed since that read began: its offset may be of either one.
+  bool reads_again_ = false;
   bool poll_at_once_ = false;  // the next poll must not wait
   bool nodes_listed_ = false;  // the store's list of nodes has been read
   // A poll for documents is in progress or will be retried. False on nodes that
--- a/src/relay/tests/store_era_tests.cc
+++ b/src/relay/tests/store_era_tests.cc
@@ -21,6 +21,7 @@
 class StoreEraTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoreEraTests);
   CPPUNIT_TEST(OffsetsOfAnEarlierEraAreDropped);
+  CPPUNIT_TEST(LateReadsOfAnEarlierEraAreRepeated);
   CPPUNIT_TEST(PollAfterAFailureReturnsAtOnce);
   CPPUNIT_TEST(PeersOfAnotherEraEndAPoll);
   CPPUNIT_TEST(NodesListThemselvesAgainAfterARestore);
@@ -58,6 +59,26 @@
     }
   }
 
+  // A read may be answered before the store is restored, and its answer arrive
+  // after those of other calls. Its offset belongs to the earlier era.
+  void LateReadsOfAnEarlierEraAreRepeated() {
+    RelayHarness harness;
+    harness.Take<ReadTable>();
+    harness.Feed(StoreEra{.era_ = 2});
+    harness.Feed(NodeAnnounced{});
+    harness.Feed(StoreEra{.era_ = 1});
+    harness.Feed(TableOffset{.next_ = 12});
+    CPPUNIT_ASSERT(harness.Take<AwaitTable>().empty());
+    for (int reads = 1; !harness.Take<ReadTable>().empty(); ++reads) {
+      CPPUNIT_ASSERT(reads <= 2);
+      harness.Feed(StoreEra{.era_ = 2});
+      harness.Feed(TableOffset{.next_ = 5});
+    }
+    const auto polls = harness.Take<AwaitTable>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, polls.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, polls.front().from_);
+  }
+
   // A call that fails may be the only sign of a restore. A poll that waits
   // names the era too late.
   void PollAfterAFailureReturnsAtOnce() {
