Store: each kind of call has its own wait before a retry

All kinds of calls shared one wait, which failures lengthen to 2 s. A store that refused the writes of addresses or condemned contents thus delayed the next read of the document. The test failed before: no read within 0.4 s of its failure.

--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -252,8 +252,8 @@
 void OnPeerStoreEra(RelayStep& step, std::uint64_t era);
 void OnNodesRead(RelayStep& step, const NodesRead& read);
 void OnNodeAnnounced(RelayStep& step);
-// The store has answered a call.
-void RecordStoreAnswer(RelayStep& step);
+// The store has answered a call of this kind.
+void RecordStoreAnswer(RelayStep& step, StoreCall call);
 void OnStoreFailed(RelayStep& step, const StoreFailed& failed);
 // Repeats a failed call after its waiting time.
 void RepeatStoreCall(RelayStep& step, StoreCall call);
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -58,13 +58,12 @@
 
 // Schedules a repeat of a failed call with exponential backoff and jitter.
 void ScheduleRetry(RelayStep& step, StoreCall call) {
-  StoreState& store = step.state_.store_;
-  store.retry_wait_ =
-      std::clamp(store.retry_wait_ * 2, step.options_.store_retry_interval_,
-                 step.options_.max_store_retry_interval_);
+  Duration& retry_wait = step.state_.store_.retry_waits_[call];
+  retry_wait = std::clamp(retry_wait * 2, step.options_.store_retry_interval_,
+                          step.options_.max_store_retry_interval_);
   const double unit = NextUnit(step.state_.random_);
   const auto wait = Duration(static_cast<std::int64_t>(
-      static_cast<double>(store.retry_wait_.count()) * (0.5 + unit / 2)));
+      static_cast<double>(retry_wait.count()) * (0.5 + unit / 2)));
   ScheduleTimer(step, step.now_ + wait, RelayTimerKind::kStore,
                 static_cast<std::uint64_t>(call));
 }
@@ -243,9 +242,9 @@
 
 }  // namespace
 
-void RecordStoreAnswer(RelayStep& step) {
+void RecordStoreAnswer(RelayStep& step, StoreCall call) {
   StoreState& store = step.state_.store_;
-  store.retry_wait_ = Duration::zero();
+  store.retry_waits_.erase(call);
   if (store.available_) return;
   store.available_ = true;
   step.effects_.emplace_back(Decision{
@@ -324,7 +323,8 @@
 }
 
 void OnTableOffset(RelayStep& step, const TableOffset& offset) {
-  RecordStoreAnswer(step);
+  RecordStoreAnswer(
+      step, offset.polled_ ? StoreCall::kAwaitTable : StoreCall::kReadTable);
   StoreState& store = step.state_.store_;
   // The poll was given up when its own answer showed a new era.
   if (offset.polled_ && !store.waiting_) return;
@@ -364,7 +364,7 @@
 }
 
 void OnNodeAnnounced(RelayStep& step) {
-  RecordStoreAnswer(step);
+  RecordStoreAnswer(step, StoreCall::kAnnounce);
   ++step.state_.counters_.store_calls_;
   // Reads the list after this node's entry was written, so that of any two
   // nodes at least one sees the other.
@@ -372,7 +372,7 @@
 }
 
 void OnNodesRead(RelayStep& step, const NodesRead& read) {
-  RecordStoreAnswer(step);
+  RecordStoreAnswer(step, StoreCall::kReadNodes);
   step.state_.store_.nodes_listed_ = true;
   for (const std::string& address : read.addresses_) EnsurePeer(step, address);
 }
--- a/src/relay/internal/suspects.cc
+++ b/src/relay/internal/suspects.cc
@@ -395,7 +395,7 @@
 }
 
 void OnChargesRead(RelayStep& step, const ChargesRead& read) {
-  RecordStoreAnswer(step);
+  RecordStoreAnswer(step, StoreCall::kReadCharges);
   for (const ContentCharge& charge : read.charges_) {
     ApplyCharge(step, charge, "store");
   }
@@ -411,7 +411,7 @@
 }
 
 void OnChargesSaved(RelayStep& step) {
-  RecordStoreAnswer(step);
+  RecordStoreAnswer(step, StoreCall::kSaveCharges);
   step.state_.content_watch_.saving_.reset();
   SaveNextCharges(step);
 }
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -384,7 +384,7 @@
   // itself, and by those to peers that have the same document.
   std::optional<Timestamp> document_as_of_;
   Timestamp known_as_of_;
-  Duration retry_wait_ = Duration::zero();
+  std::map<StoreCall, Duration> retry_waits_;  // after failures in a row
   bool available_ = true;
   Timestamp failed_since_;
   Timestamp changed_at_;    // when the store last returned a newer document
--- a/src/relay/tests/relay_tests.cc
+++ b/src/relay/tests/relay_tests.cc
@@ -9,6 +9,7 @@
   CPPUNIT_TEST_SUITE(RelayTests);
   CPPUNIT_TEST(OlderDocumentsAreIgnored);
   CPPUNIT_TEST(StoreFailuresAreRetried);
+  CPPUNIT_TEST(FailingWritesDoNotDelayReads);
   CPPUNIT_TEST(PeersWithANewerDocumentAreQueried);
   CPPUNIT_TEST(StatusesOfAnOlderConnectionAreIgnored);
   CPPUNIT_TEST(StoppingNodeEndsOnlyWhenIdle);
@@ -69,6 +70,21 @@
     }
   }
 
+  // A store that takes no writes still answers reads. Failing writes must not
+  // delay the retry of a failed read.
+  void FailingWritesDoNotDelayReads() {
+    RelayHarness harness;
+    for (int i = 0; i < 6; ++i) {
+      harness.Feed(StoreFailed{.call_ = StoreCall::kAnnounce,
+                               .fault_ = StoreFault::kRefused});
+      harness.RunFor(std::chrono::seconds(2));
+    }
+    harness.Take<ReadTable>();
+    harness.Feed(StoreFailed{.call_ = StoreCall::kReadTable});
+    harness.RunFor(RelayHarness::DefaultOptions().store_retry_interval_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.Take<ReadTable>().size());
+  }
+
   // A node that can't read the store receives new documents from peers. When a
   // peer's status names a newer version, the node must query the peer for it.
   void PeersWithANewerDocumentAreQueried() {
