--- a/standins/soak/main.cc
+++ b/standins/soak/main.cc
@@ -28,7 +28,9 @@
             << "  rate limits named " << result.named_limits_
             << ", largest use " << result.rate_limit_use_
             << "; leaving stated in answers " << result.stated_leaving_
-            << "; restores of the store " << result.store_restores_ << ";\n";
+            << "; restores of the store " << result.store_restores_
+            << ", silences for all hosts but one " << result.joint_silences_
+            << ";\n";
   PrintCounts("faults", result.faults_);
   PrintCounts("answers", result.statuses_);
   for (const SoakViolation& violation : result.violations_) {
--- a/standins/soak/soak_run.cc
+++ b/standins/soak/soak_run.cc
@@ -50,6 +50,9 @@
 // topic.
 constexpr Duration kRestoreInterval = std::chrono::milliseconds(2500);
 constexpr std::uint64_t kMaxLostRecords = 4;
+// The store falls silent for all hosts but one, among them all that read it.
+constexpr Duration kJointSilenceInterval = std::chrono::milliseconds(3300);
+constexpr Duration kJointSilenceLength = std::chrono::milliseconds(1500);
 // First character of the ids of requests with the crashing content, and of all
 // others.
 constexpr char kCrashId = 'c';
@@ -148,6 +151,7 @@
     endless_timer_.stop();
     statement_timer_.stop();
     restore_timer_.stop();
+    joint_silence_timer_.stop();
     // Requests in flight end by their deadlines.
     WaitUntil(std::chrono::seconds(2), [this] { return open_.empty(); });
     Finish();
@@ -253,6 +257,9 @@
                              true);
     });
     restore_timer_.start(Millis(kRestoreInterval));
+    QObject::connect(&joint_silence_timer_, &QTimer::timeout, this,
+                     [this] { SilenceStoreJointly(); });
+    joint_silence_timer_.start(Millis(kJointSilenceInterval));
     QObject::connect(&version_timer_, &QTimer::timeout, this,
                      [this] { Probe(); });
     version_timer_.start(Millis(kVersionPoll));
@@ -320,6 +327,23 @@
     });
   }
 
+  void SilenceStoreJointly() {
+    if (faults_over_) return;
+    ++result_.joint_silences_;
+    const SilencedDirections both{.to_server_ = true, .to_caller_ = true};
+    const std::size_t spared = NextBelow(statement_random_, states_.size());
+    for (std::size_t i = 0; i < states_.size(); ++i) {
+      if (i == spared) continue;
+      states_[i].store_->SilenceOpen(both);
+      states_[i].store_->SilenceNew(both);
+    }
+    RunAfter(kJointSilenceLength, [this] { EndJointSilence(); });
+  }
+
+  void EndJointSilence() {
+    for (HostState& state : states_) state.store_->SilenceNew({});
+  }
+
   // Whether the host of a request is bound by the rate limit of an instance.
   bool IsBoundByLimit(const std::string& id, const std::string& instance) {
     if (!id.starts_with(kOrdinaryId)) return false;
@@ -676,6 +700,7 @@
   // Ends every fault and waits until all hosts serve the newest document.
   void Recover() {
     hosts_.store().SetMode(StoreMode::kServing);
+    EndJointSilence();
     for (std::size_t i = 0; i < states_.size(); ++i) {
       Continue(i);
       states_[i].link_->SilenceNew({});
@@ -784,6 +809,7 @@
   QTimer endless_timer_;
   QTimer statement_timer_;
   QTimer restore_timer_;
+  QTimer joint_silence_timer_;
   QTimer version_timer_;
   QTimer stall_timer_;
   std::set<std::uint64_t> open_;
--- a/standins/soak/soak_run.h
+++ b/standins/soak/soak_run.h
@@ -31,6 +31,7 @@
   int named_limits_ = 0;
   int stated_leaving_ = 0;
   int store_restores_ = 0;
+  int joint_silences_ = 0;       // of the store, for all hosts but one
   double rate_limit_use_ = 0.0;  // largest, see RateLimitAudit
   std::size_t runs_ = 0;
   std::uint64_t logged_runs_ = 0;              // in the logs of the relays
