--- a/standins/platform/path_tests.cc
+++ b/standins/platform/path_tests.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(SurvivesKilledAndPausedPeers);
   CPPUNIT_TEST(CrashingContentIsRefusedOnAllHosts);
   CPPUNIT_TEST(OddEntriesHarmNobody);
+  CPPUNIT_TEST(DocumentsWrittenBetweenTwoPagesAreRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -203,6 +204,27 @@
                    std::size(bodies));
   }
 
+  // The document is on the first page, and written again before the last one,
+  // which states the end of the log after it.
+  void DocumentsWrittenBetweenTwoPagesAreRead() {
+    SidecarHosts hosts({.program_ = sidecar_program, .hosts_ = 1});
+    StoreStandin& store = hosts.store();
+    store.PutDocument(SampleDocument(1, "jobs"));
+    store.Append("keyed.op", "other", "1");
+    bool written = false;
+    store.SetPages(1, [&](const std::string& topic) {
+      if (topic != "keyed.op" || std::exchange(written, true)) return;
+      store.PutDocument(SampleDocument(2, "jobs"));
+    });
+    CPPUNIT_ASSERT(hosts.Start());
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(3), [&] {
+      return Fetch(hosts.hosts()[0].metrics(),
+                   {.method_ = "GET", .target_ = "/metrics"})
+                 .body_.find("\njujubefront_relay_table_version 2\n") !=
+             std::string::npos;
+    }));
+  }
+
   void ReportsFailuresOfBackendServers() {
     struct Row {
       const char* name_;
--- a/standins/platform/store_standin.cc
+++ b/standins/platform/store_standin.cc
@@ -92,12 +92,17 @@
   }
 }
 
-Http1Response StoreStandin::Newest(const std::string& name) const {
+Http1Response StoreStandin::Newest(const std::string& name,
+                                   const std::string& after) const {
   QJsonObject page;
   QJsonArray items;
+  bool has_more = false;
   const auto topic = topics_.find(name);
   if (topic != topics_.end()) {
     for (const auto& [key, record] : topic->second.newest_) {
+      if (!after.empty() && key <= after) continue;
+      has_more = static_cast<std::size_t>(items.size()) == page_records_;
+      if (has_more) break;
       items.append(QJsonObject{
           {"key", QString::fromStdString(key)},
           {"value", QString::fromLatin1(
@@ -109,7 +114,7 @@
     page["end"] = 0;
   }
   page["items"] = items;
-  page["has_more"] = false;
+  page["has_more"] = has_more;
   return Json(page);
 }
 
@@ -150,7 +155,9 @@
   const QUrlQuery query(url);
   const std::string topic = query.queryItemValue("topic").toStdString();
   if (url.path().endsWith("log-newest")) {
-    return Answer(id, Newest(topic));
+    Answer(id, Newest(topic, query.queryItemValue("after", QUrl::FullyDecoded)
+                                 .toStdString()));
+    return on_page_(topic);
   }
   if (url.path().endsWith("log-append")) {
     const auto key_size = static_cast<std::uint8_t>(request.body_.at(4));
--- a/standins/platform/store_standin.h
+++ b/standins/platform/store_standin.h
@@ -3,6 +3,7 @@
 
 #include <QObject>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -42,6 +43,14 @@
   // Calls that wait go on, for an offset of before.
   void Restore(std::size_t lost, bool again);
 
+  // Answers with so many of a topic's newest records in one page, and calls
+  // `on_page` with the topic after each page.
+  void SetPages(std::size_t records,
+                std::function<void(const std::string& topic)> on_page) {
+    page_records_ = records;
+    on_page_ = std::move(on_page);
+  }
+
   std::uint64_t calls() const { return calls_; }
 
  private:
@@ -64,11 +73,14 @@
   void OnRequest(std::uint64_t id, const Http1Request& request);
   // Answers with the era.
   void Answer(std::uint64_t id, Http1Response response);
-  Http1Response Newest(const std::string& topic) const;
+  Http1Response Newest(const std::string& topic,
+                       const std::string& after) const;
   Http1Response Read(const std::string& topic, std::uint64_t from) const;
 
   Http1Server server_;
   StoreMode mode_ = StoreMode::kServing;
+  std::size_t page_records_ = 500;
+  std::function<void(const std::string&)> on_page_ = [](const auto&) {};
   std::uint64_t calls_ = 0;
   std::uint64_t era_ = 1;
   std::map<std::string, Topic> topics_;
