Tests: a reader without answers is replaced

A mutant that counts a silent reader as reading passed all tests: the other nodes still read in time, each for itself, but nobody became a reader that waits. The table now expects a longer poll after the reader's answers are too old.

--- a/src/relay/tests/store_reader_tests.cc
+++ b/src/relay/tests/store_reader_tests.cc
@@ -103,6 +103,13 @@
         if (*status->document_age_ < kDeadline / 2) ++told;
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::size_t{2}, told);
+      // A reader without answers for longer than a poll takes is replaced.
+      harness.Take<AwaitTable>();
+      harness.RunFor(milliseconds(600));
+      const auto next = harness.Take<AwaitTable>();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.answered_, next.empty());
+      if (next.empty()) continue;
+      CPPUNIT_ASSERT_MESSAGE(row.name_, next.front().wait_ > Duration::zero());
     }
   }
 
