Store: calls are not repeated on silent connections

Callers saw requests handled by an older document, or refused with 404 on a route that had been added, 4.5 s after all open connections fell silent for good, when the nodes count as in touch again.

Cause: a call to the store without an answer was charged to itself alone. Its repeat took the next connection from the pool, which had fallen silent at the same moment, and cost another 1.5 s; up to four of them. And a node with a poll in progress looked at nothing else until that had timed out (wait + 1.5 s).

Change: - A call that is given up closes the idle connections on which nothing came since it was sent; so does one whose connection times out. - A node whose document may be too old reads on a new connection. - It gives up its own poll once that is late by 0.16 of the bound and the document may be too old. The next one starts in a later step, and the repeat of a failed poll is cancelled with it: two could run side by side before. - store_unanswered names the age of the connection, the time since its last byte and the connections closed; poll_given_up; table_changed has the peer.

FrequentDocumentsAreReadTogether left a poll without an answer for 5 s, which is given up now; its polls are answered, and the count stays exactly one.

--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -79,6 +79,9 @@
   std::string correlation_;
   CarriedRequests carried_;
   int mismatched_responses_ = 0;
+  Clock::time_point opened_at_;
+  Clock::time_point received_at_;  // last byte, or the end of connecting
+  Clock::time_point sent_at_;      // the current request
   Clock::time_point idle_until_;
 };
 
@@ -97,6 +100,10 @@
 void Http1Client::SetAddress(const std::string& address) {
   if (address == address_) return;
   address_ = address;
+  CloseIdle();
+}
+
+void Http1Client::CloseIdle() {
   while (!idle_.empty()) Remove(*idle_.back());
 }
 
@@ -125,10 +132,13 @@
   Connection* connection = owned.get();
   connection->id_ = ++last_id_;
   connection->socket_ = socket;
+  connection->opened_at_ = Clock::now();
+  connection->received_at_ = connection->opened_at_;
   connections_[connection->id_] = std::move(owned);
   socket->SetHandlers(
       {.on_connected_ =
            [this, connection] {
+             connection->received_at_ = Clock::now();
              if (connection->is_probe_)
                EndProbe(*connection, Http1Probe::kListens);
              if (connection->pending_request_.empty()) return;
@@ -161,6 +171,7 @@
   calls_[call_id] = connection;
   connection->call_id_ = call_id;
   connection->busy_ = true;
+  connection->sent_at_ = Clock::now();
   connection->mismatched_responses_ = 0;
   connection->reader_ = std::make_unique<Http1ResponseReader>(
       options_.limits_, request.method_ == "HEAD");
@@ -207,7 +218,32 @@
   return true;
 }
 
+std::optional<Http1Silence> Http1Client::GiveUp(std::uint64_t call_id) {
+  const auto found = calls_.find(call_id);
+  if (found == calls_.end()) return std::nullopt;
+  const Connection& connection = *found->second;
+  const auto now = Clock::now();
+  Http1Silence silence{
+      .connection_age_ =
+          std::chrono::duration_cast<Duration>(now - connection.opened_at_),
+      .silent_ =
+          std::chrono::duration_cast<Duration>(now - connection.received_at_)};
+  const auto sent_at = connection.sent_at_;
+  Abort(call_id);
+  silence.closed_idle_ = CloseIdleUnheardSince(sent_at);
+  return silence;
+}
+
+std::size_t Http1Client::CloseIdleUnheardSince(Clock::time_point since) {
+  const std::vector<Connection*> idle = idle_;
+  for (Connection* connection : idle) {
+    if (connection->received_at_ < since) Remove(*connection);
+  }
+  return idle.size() - idle_.size();
+}
+
 void Http1Client::OnData(Connection& connection) {
+  connection.received_at_ = Clock::now();
   // Data on an idle connection belongs to no request, so the connection cannot
   // be reused.
   if (!connection.busy_) return Remove(connection);
@@ -271,6 +307,9 @@
                     refused ? Http1Probe::kRefused : Http1Probe::kUnknown);
   }
   if (!connection.busy_) return Remove(connection);
+  if (end == ConnectionEnd::kTimedOut) {
+    CloseIdleUnheardSince(connection.sent_at_);
+  }
   if (!connection.request_written_) {
     return Fail(connection,
                 refused ? Http1Failure::kRefused : Http1Failure::kNotSent);
--- a/src/http1/http1_client.h
+++ b/src/http1/http1_client.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -32,6 +33,13 @@
   kUnknown,  // connecting failed for another reason
 };
 
+// What is known of the connection of a call that got no response.
+struct Http1Silence {
+  Duration connection_age_ = Duration::zero();
+  Duration silent_ = Duration::zero();  // since its last received byte
+  std::size_t closed_idle_ = 0;         // idle connections closed for it
+};
+
 struct Http1ClientOptions {
   Http1Limits limits_;
   // Idle connections are closed after this time, or earlier if the server's
@@ -76,6 +84,15 @@
   // Returns false if the call is not open.
   bool Abort(std::uint64_t call_id);
 
+  // Abandons a call that has had no response for too long. Also closes the idle
+  // connections on which nothing has been received since the call was sent:
+  // they may have fallen silent for the same reason. nullopt: the call is not
+  // open.
+  std::optional<Http1Silence> GiveUp(std::uint64_t call_id);
+
+  // Closes all idle connections, so that the next call opens a new one.
+  void CloseIdle();
+
   std::size_t open_connections() const { return connections_.size(); }
 
  private:
@@ -92,6 +109,8 @@
   void Fail(Connection& connection, Http1Failure failure);
   void KeepOrClose(Connection& connection, const Http1Response& response);
   void Remove(Connection& connection);
+  std::size_t CloseIdleUnheardSince(
+      std::chrono::steady_clock::time_point since);
   void CloseStale();
 
   Http1ClientOptions options_;
--- a/src/http1/tests/connection_tests.cc
+++ b/src/http1/tests/connection_tests.cc
@@ -62,14 +62,18 @@
   }
   int connections() const { return connections_; }
 
+  // Connections that are open now get no answers any more; new ones do.
+  void SilenceOpen() { silent_up_to_ = connections_; }
+
  private:
   void OnConnection(TcpConnection* socket) {
-    ++connections_;
+    const int number = ++connections_;
     socket->SetHandlers(
         {.on_connected_ = {},
          .on_data_ =
-             [this, socket] {
+             [this, socket, number] {
                socket->Consume(socket->inbox().size());
+               if (number <= silent_up_to_) return;
                socket->Write(script_);
                if (end_ == ServerEnd::kCloses) socket->Close();
                if (end_ == ServerEnd::kResets) Reset(socket);
@@ -88,6 +92,7 @@
   ServerEnd end_;
   TcpListener listener_;
   int connections_ = 0;
+  int silent_up_to_ = 0;
 };
 
 // Sends as fast as the peer reads, until the peer closes the connection.
@@ -273,6 +278,7 @@
   CPPUNIT_TEST(AnswersCutOffAnywhereAreNotWhole);
   CPPUNIT_TEST(RefusedConnectionsAreReported);
   CPPUNIT_TEST(ClosedIdleConnectionsAreNotReused);
+  CPPUNIT_TEST(UnansweredCallsEndConnectionsThatAreSilentAsLong);
   CPPUNIT_TEST(ProbesReportWhetherAServerListens);
   CPPUNIT_TEST(BackendServerThatSendsWithoutEndHarmsNobodyElse);
   CPPUNIT_TEST(ClientThatSendsWithoutEndHarmsNobodyElse);
@@ -518,6 +524,55 @@
     }
   }
 
+  // Connections fall silent together. If a call that has had no response were
+  // repeated on the next idle one, each would cost a whole time-out.
+  void UnansweredCallsEndConnectionsThatAreSilentAsLong() {
+    struct Row {
+      const char* name_;
+      bool others_silent_;  // the other idle connections
+      std::size_t closed_;
+    };
+    constexpr std::size_t kIdle = 3;
+    constexpr auto kPatience = std::chrono::milliseconds(50);
+    const Row rows[] = {{"all fell silent", true, kIdle - 1},
+                        {"one is slow", false, 0}};
+    for (const Row& row : rows) {
+      ScriptedServer server("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                            ServerEnd::kStays);
+      std::size_t responses = 0;
+      Http1Client client(
+          {}, {.on_response_ = [&](std::uint64_t,
+                                   const Http1Response&) { ++responses; },
+               .on_failure_ = [](std::uint64_t, Http1Failure) {}});
+      client.SetAddress(server.address());
+      const Http1Request request{.method_ = "GET", .target_ = "/"};
+      for (std::uint64_t id = 1; id <= kIdle; ++id) client.Send(id, request);
+      CPPUNIT_ASSERT(RunLoopUntil([&] { return responses == kIdle; }));
+      server.SilenceOpen();
+      constexpr std::uint64_t kUnanswered = 10;
+      client.Send(kUnanswered, request);
+      RunLoopUntil([] { return false; }, kPatience);
+      if (!row.others_silent_) {
+        client.CloseIdle();
+        responses = 0;
+        for (std::uint64_t id = 11; id <= 12; ++id) client.Send(id, request);
+        CPPUNIT_ASSERT(RunLoopUntil([&] { return responses == 2; }));
+      }
+      const auto silence = client.GiveUp(kUnanswered);
+      CPPUNIT_ASSERT_MESSAGE(row.name_, silence.has_value());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.closed_,
+                                   silence->closed_idle_);
+      CPPUNIT_ASSERT_MESSAGE(row.name_, silence->silent_ >= kPatience);
+      CPPUNIT_ASSERT_MESSAGE(row.name_,
+                             silence->connection_age_ >= silence->silent_);
+      // The next call is answered, on a connection that was not silent.
+      responses = 0;
+      client.Send(20, request);
+      CPPUNIT_ASSERT_MESSAGE(row.name_,
+                             RunLoopUntil([&] { return responses == 1; }));
+    }
+  }
+
   void ProbesReportWhetherAServerListens() {
     EnsureApplication();
     for (const bool listens : {true, false}) {
--- a/src/netio/tcp_connection.cc
+++ b/src/netio/tcp_connection.cc
@@ -49,6 +49,12 @@
             Milliseconds(silence.unacknowledged_));
 }
 
+ConnectionEnd EndOfError(int error) {
+  if (error == ECONNREFUSED) return ConnectionEnd::kRefused;
+  if (error == ETIMEDOUT) return ConnectionEnd::kTimedOut;
+  return ConnectionEnd::kBroken;
+}
+
 void DropConsumed(std::string& buffer, std::size_t& start) {
   if (start == buffer.size()) {
     buffer.clear();
@@ -177,7 +183,7 @@
                                  unsent_bytes(), MSG_NOSIGNAL);
     if (count < 0) {
       if (errno == EAGAIN || errno == EINTR) return;
-      return End(ConnectionEnd::kBroken);
+      return End(EndOfError(errno));
     }
     outbox_start_ += static_cast<std::size_t>(count);
   }
@@ -193,10 +199,7 @@
     socklen_t length = sizeof(error);
     getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &length);
     if (error == 0) error = connect_error_;
-    if (error != 0) {
-      return End(error == ECONNREFUSED ? ConnectionEnd::kRefused
-                                       : ConnectionEnd::kBroken);
-    }
+    if (error != 0) return End(EndOfError(error));
     connected_ = true;
     Watch(true, writing_);
     if (handlers_.on_connected_) handlers_.on_connected_();
@@ -219,8 +222,8 @@
       continue;
     }
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) break;
-    const auto end =
-        count == 0 ? ConnectionEnd::kFinished : ConnectionEnd::kBroken;
+    const ConnectionEnd end =
+        count == 0 ? ConnectionEnd::kFinished : EndOfError(errno);
     if (received && handlers_.on_data_) handlers_.on_data_();
     return End(end);
   }
--- a/src/netio/tcp_connection.h
+++ b/src/netio/tcp_connection.h
@@ -14,7 +14,8 @@
 // How a connection ended.
 enum class ConnectionEnd : std::uint8_t {
   kFinished,  // the peer closed it normally (FIN)
-  kBroken,    // reset, timed out or unreachable
+  kBroken,    // reset or unreachable
+  kTimedOut,  // the other side acknowledged nothing for too long
   kRefused,   // nothing listens at the address
 };
 
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -21,6 +21,9 @@
 constexpr double kPollShare = 0.6;
 constexpr double kMaxAgeShare = 0.54;
 constexpr double kTakeoverShare = 0.16;
+// A poll whose answer is late by this counts as lost once the document may be
+// too old. What is left is for a read on a new connection.
+constexpr double kPollMarginShare = 0.16;
 // A poll and the report of its end.
 constexpr double kMaxReaderAgeShare = 0.9;
 
@@ -64,7 +67,9 @@
   const double unit = NextUnit(step.state_.random_);
   const auto wait = Duration(static_cast<std::int64_t>(
       static_cast<double>(retry_wait.count()) * (0.5 + unit / 2)));
-  ScheduleTimer(step, step.now_ + wait, RelayTimerKind::kStore,
+  const Timestamp at = step.now_ + wait;
+  if (call == StoreCall::kAwaitTable) step.state_.store_.poll_retry_at_ = at;
+  ScheduleTimer(step, at, RelayTimerKind::kStore,
                 static_cast<std::uint64_t>(call));
 }
 
@@ -129,15 +134,19 @@
   return as_of ? (step.now_ - *as_of).count() : -1;
 }
 
+// Age of the latest such answer that this node knows of, to any node.
+std::int64_t KnownAge(const RelayStep& step) {
+  return (step.now_ - step.state_.store_.known_as_of_).count();
+}
+
 void RecordReaderChange(RelayStep& step, bool is_reader) {
   step.state_.store_.is_reader_ = is_reader;
-  step.effects_.emplace_back(Decision{
-      .kind_ = DecisionKind::kReaderChanged,
-      .trace_id_ = {},
-      .inputs_ = {{"reads", std::int64_t{is_reader}},
-                  {"answer_age_us", AnswerAge(step)},
-                  {"known_age_us",
-                   (step.now_ - step.state_.store_.known_as_of_).count()}}});
+  step.effects_.emplace_back(
+      Decision{.kind_ = DecisionKind::kReaderChanged,
+               .trace_id_ = {},
+               .inputs_ = {{"reads", std::int64_t{is_reader}},
+                           {"answer_age_us", AnswerAge(step)},
+                           {"known_age_us", KnownAge(step)}}});
 }
 
 // Duration of a poll, such that the polls of a zone's readers end in equal
@@ -164,14 +173,18 @@
       store.poll_at_once_ ? Duration::zero() : ComputePollWait(step);
   store.call_valid_until_ = step.now_ + store.poll_wait_;
   ++step.state_.counters_.store_calls_;
-  step.effects_.emplace_back(AwaitTable{.from_ = store.next_offset_.value_or(0),
-                                        .wait_ = store.poll_wait_});
+  step.effects_.emplace_back(
+      AwaitTable{.from_ = store.next_offset_.value_or(0),
+                 .wait_ = store.poll_wait_,
+                 .new_connection_ = store.poll_at_once_});
 }
 
-void SendRead(RelayStep& step) {
-  step.state_.store_.call_valid_until_ = step.now_;
+void SendRead(RelayStep& step, bool is_repeat) {
+  StoreState& store = step.state_.store_;
+  store.call_valid_until_ = step.now_;
   ++step.state_.counters_.store_calls_;
-  step.effects_.emplace_back(ReadTable{});
+  step.effects_.emplace_back(
+      ReadTable{.new_connection_ = is_repeat || store.poll_at_once_});
 }
 
 // Reads the document, and with it an offset of the store's present era.
@@ -179,7 +192,7 @@
   StoreState& store = step.state_.store_;
   if (store.reading_) return;
   store.reading_ = true;
-  SendRead(step);
+  SendRead(step, false);
 }
 
 // The store has answered a read or a poll for documents.
@@ -195,11 +208,49 @@
 }
 
 void StopPoll(RelayStep& step) {
-  if (!step.state_.store_.waiting_) return;
-  step.state_.store_.waiting_ = false;
+  StoreState& store = step.state_.store_;
+  if (!store.waiting_) return;
+  store.waiting_ = false;
+  // Otherwise the repeat would run beside the next poll.
+  if (store.poll_retry_at_) {
+    step.state_.timers_.erase(
+        {*store.poll_retry_at_, RelayTimerKind::kStore,
+         static_cast<std::uint64_t>(StoreCall::kAwaitTable)});
+    store.poll_retry_at_.reset();
+  }
   step.effects_.emplace_back(AbandonPoll{});
 }
 
+bool IsOverdue(const RelayStep& step) {
+  return step.now_ - step.state_.store_.known_as_of_ > MaxDocumentAge(step);
+}
+
+// Gives up a poll that has not ended with its wait while the document may be
+// too old. The connection may be silent, which would otherwise show only when
+// the call times out, too late for a read in its place. Returns true if it gave
+// the poll up. The next one must start in a later step: the event of this step
+// may be an answer to the poll.
+bool GiveUpHangingPoll(RelayStep& step) {
+  StoreState& store = step.state_.store_;
+  if (!store.waiting_ || store.poll_retry_at_) return false;
+  if (store.poll_wait_ == Duration::zero() || !IsOverdue(step)) return false;
+  // After a pause of this process the answer may be there, and not yet read.
+  const Duration late =
+      step.now_ - std::max(store.call_valid_until_, step.state_.resumed_at_);
+  if (late <= ShareOf(step.options_.document_deadline_, kPollMarginShare)) {
+    return false;
+  }
+  step.effects_.emplace_back(
+      Decision{.kind_ = DecisionKind::kPollGivenUp,
+               .trace_id_ = {},
+               .inputs_ = {{"wait_us", store.poll_wait_.count()},
+                           {"late_us", late.count()},
+                           {"answer_age_us", AnswerAge(step)},
+                           {"known_age_us", KnownAge(step)}}});
+  StopPoll(step);
+  return true;
+}
+
 // Lists this node again in a store of this era, which may have lost its entry.
 // The times of all nodes are spread.
 void ScheduleAnnounce(RelayStep& step, std::uint64_t era) {
@@ -230,6 +281,21 @@
   if (RanksFirstInZone(step)) SaveAllCharges(step);
 }
 
+// Names the connection of a call without an answer, so that a silent one can be
+// told from a store that is silent.
+void LogUnanswered(RelayStep& step, const StoreFailed& failed) {
+  if (!failed.silence_) return;
+  step.effects_.emplace_back(Decision{
+      .kind_ = DecisionKind::kStoreUnanswered,
+      .trace_id_ = {},
+      .inputs_ = {
+          {"call", std::string(CallName(failed.call_))},
+          {"connection_age_us", failed.silence_->connection_age_.count()},
+          {"silent_us", failed.silence_->silent_.count()},
+          {"closed", std::int64_t{failed.silence_->closed_connections_}},
+          {"known_age_us", KnownAge(step)}}});
+}
+
 // Delays the next poll during a burst of documents. Each document ends the
 // polls of all readers, and every reader then starts a new one.
 void RecordNewDocument(RelayStep& step) {
@@ -312,6 +378,8 @@
           {"to", static_cast<std::int64_t>(read.table_.version_)},
           {"routes", static_cast<std::int64_t>(read.table_.routes_.size())},
           {"source", std::string(read.from_peer_ ? "peer" : "store")},
+          {"peer", read.peer_},
+          {"known_age_us", KnownAge(step)},
           {"answer_age_us", AnswerAge(step)}}});
   state.table_ = std::move(read.table_);
   state.table_text_ = std::move(read.text_);
@@ -349,6 +417,7 @@
 
 void TickStore(RelayStep& step) {
   StoreState& store = step.state_.store_;
+  if (GiveUpHangingPoll(step)) return;
   if (store.waiting_ || store.reading_) return;
   // Nodes of a zone that see each other agree on the readers; one that sees too
   // few becomes a reader.
@@ -356,7 +425,7 @@
       FindReadersBefore(step).count_ < step.options_.store_readers_per_zone_;
   if (is_reader != store.is_reader_) RecordReaderChange(step, is_reader);
   // A reader may get documents, and be unable to hand them on.
-  const bool is_overdue = step.now_ - store.known_as_of_ > MaxDocumentAge(step);
+  const bool is_overdue = IsOverdue(step);
   if (!is_reader && !is_overdue) return;
   if (step.now_ < store.paused_until_) return;
   store.poll_at_once_ |= is_overdue;
@@ -390,6 +459,7 @@
                              {"why", std::string(FaultName(failed.fault_))},
                              {"answer_age_us", AnswerAge(step)}}});
   }
+  LogUnanswered(step, failed);
   const bool polled = failed.call_ == StoreCall::kAwaitTable;
   // An answer that cannot be read would be the same at the next poll.
   const bool reread = polled && (failed.fault_ == StoreFault::kHistoryLost ||
@@ -408,11 +478,12 @@
 void RepeatStoreCall(RelayStep& step, StoreCall call) {
   if (call == StoreCall::kAwaitTable) {
     // Otherwise the poll has been given up.
+    step.state_.store_.poll_retry_at_.reset();
     if (step.state_.store_.waiting_) StartPoll(step);
     return;
   }
   if (call == StoreCall::kSaveCharges) return SaveNextCharges(step);
-  if (call == StoreCall::kReadTable) return SendRead(step);
+  if (call == StoreCall::kReadTable) return SendRead(step, true);
   ++step.state_.counters_.store_calls_;
   if (call == StoreCall::kAnnounce) step.effects_.emplace_back(AnnounceNode{});
   if (call == StoreCall::kReadNodes) step.effects_.emplace_back(ReadNodes{});
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -14,8 +14,10 @@
 void DetectPause(RelayStep& step) {
   Timestamp& last = step.state_.last_tick_at_;
   const Duration late = step.now_ - last - kTickInterval;
-  if (last != Timestamp{} && late > kTickInterval)
+  if (last != Timestamp{} && late > kTickInterval) {
     ExcludePauseFromSilence(step, late);
+    step.state_.resumed_at_ = step.now_;
+  }
   last = step.now_;
 }
 
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -65,12 +65,16 @@
 struct ProbeBackend {};
 
 // Reads the latest routing document from the store.
-struct ReadTable {};
+struct ReadTable {
+  // Idle connections to the store are not used: they may be silent.
+  bool new_connection_ = false;
+};
 
 // Polls the store for documents after an offset.
 struct AwaitTable {
   std::uint64_t from_ = 0;
   Duration wait_ = Duration::zero();  // maximum
+  bool new_connection_ = false;       // as of ReadTable
 };
 
 // Gives up the poll for documents. Its result is not reported.
@@ -133,8 +137,10 @@
   kTableChanged,
   kStoreLost,
   kStoreBack,
-  kStoreRestored,  // it came back from an older copy
-  kReaderChanged,  // this node begins or ceases to poll the store
+  kStoreUnanswered,  // a call has had no response in time
+  kPollGivenUp,      // a poll is past its wait, and the document may be old
+  kStoreRestored,    // it came back from an older copy
+  kReaderChanged,    // this node begins or ceases to poll the store
   kAdmissionChanged,
   kStopping,
   kReloaded,
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -129,6 +129,7 @@
 // A routing document was received from the store or from a peer.
 struct TableRead {
   bool from_peer_ = false;  // false: this node read it from the store
+  std::string peer_;        // that sent it
   RouteTable table_;
   std::string text_;
 };
@@ -181,10 +182,18 @@
   kUnreadable,   // the answer cannot be decoded
 };
 
+// What is known of the connection of a call without an answer.
+struct StoreSilence {
+  Duration connection_age_ = Duration::zero();
+  Duration silent_ = Duration::zero();    // since its last received byte
+  std::uint32_t closed_connections_ = 0;  // idle ones, closed for this call
+};
+
 // A call to the store failed.
 struct StoreFailed {
   StoreCall call_ = StoreCall::kReadTable;
   StoreFault fault_ = StoreFault::kNoAnswer;
+  std::optional<StoreSilence> silence_;  // of a call that timed out
 };
 
 // The time returned by NextRelayWake has come.
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -379,7 +379,9 @@
   // latest: an answer that is read late does not show what came meanwhile.
   Timestamp call_valid_until_;
   Duration poll_wait_ = Duration::zero();  // of the poll in progress
-  bool polled_in_full_ = false;            // the last poll ended with its wait
+  // The poll has failed and is repeated then.
+  std::optional<Timestamp> poll_retry_at_;
+  bool polled_in_full_ = false;  // the last poll ended with its wait
   // As of when this node had the newest document: by the store's answers to
   // itself, and by those to peers that have the same document.
   std::optional<Timestamp> document_as_of_;
@@ -492,6 +494,7 @@
   Timestamp remote_zone_sums_sent_at_;
   std::uint64_t zone_sum_sequence_ = 0;
   Timestamp last_tick_at_;
+  Timestamp resumed_at_;  // when this process last ran again after a pause
   Timestamp avoided_at_;  // when a peer was last marked as avoided
   Timestamp probed_at_;   // when all peers were last pinged
   // Most peers are silent, both in the local zone and overall.
--- a/src/relay/tests/store_reader_tests.cc
+++ b/src/relay/tests/store_reader_tests.cc
@@ -56,6 +56,8 @@
   CPPUNIT_TEST(NodesReadThemselvesWhenReadersGetNoAnswers);
   CPPUNIT_TEST(PollsOfAZoneEndInEqualIntervals);
   CPPUNIT_TEST(LateAnswersDoNotCountAsNew);
+  CPPUNIT_TEST(OverdueNodesReadOnNewConnections);
+  CPPUNIT_TEST(RepeatsOfAPollThatIsGivenUpAreCancelled);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -158,6 +160,62 @@
     CPPUNIT_ASSERT(as_of);
     CPPUNIT_ASSERT(harness.now() - *as_of >= std::chrono::seconds(7));
   }
+
+  // The connection of a poll, and the idle ones beside it, may be silent. A
+  // node whose document may be too old must not wait for the poll's time-out.
+  void OverdueNodesReadOnNewConnections() {
+    struct Row {
+      const char* name_;
+      std::size_t earlier_;  // readers that go before this node
+      bool answered_;        // the store answers them
+      bool given_up_;        // a poll of this node
+      bool reads_;           // on a new connection
+    };
+    const Row rows[] = {
+        {"only reader, poll hangs", 0, false, true, true},
+        {"second reader, poll hangs", 1, false, true, true},
+        {"second reader, the first gets answers", 1, true, false, false},
+        {"no reader, readers hang", 2, false, false, true}};
+    constexpr Duration kReportEvery = milliseconds(250);
+    for (const Row& row : rows) {
+      ReaderHarness harness(row.earlier_);
+      Duration age = Duration::zero();
+      for (Duration at = Duration::zero(); at < milliseconds(2250);
+           at += kReportEvery) {
+        harness.RunFor(kReportEvery);
+        age = row.answered_ ? milliseconds(100) : age + kReportEvery;
+        harness.Report(age, 3);
+      }
+      bool reads = false;
+      for (const AwaitTable& poll : harness.Take<AwaitTable>()) {
+        if (poll.wait_ > Duration::zero()) {
+          CPPUNIT_ASSERT_MESSAGE(row.name_, !poll.new_connection_);
+        } else {
+          reads |= poll.new_connection_;
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.reads_, reads);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.given_up_,
+                                   !harness.Take<AbandonPoll>().empty());
+    }
+  }
+
+  // A poll that has failed waits for its repeat. If another takes its place,
+  // both would be in progress, and the answer to one count for the other.
+  void RepeatsOfAPollThatIsGivenUpAreCancelled() {
+    ReaderHarness harness(1);
+    harness.RunFor(milliseconds(100));
+    harness.Feed(StoreFailed{.call_ = StoreCall::kAwaitTable});
+    harness.Take<AwaitTable>();
+    harness.Feed(StoreEra{.era_ = 1});
+    HostStatus status = harness.state().peers_.at(EarlierReaders(1)[0]).status_;
+    status.sent_at_ = harness.now().time_since_epoch();
+    status.store_era_ = 2;
+    harness.Feed(LinkReceived{.connection_id_ = 1, .message_ = status});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.Take<AwaitTable>().size());
+    harness.RunFor(milliseconds(800));
+    CPPUNIT_ASSERT(harness.Take<AwaitTable>().empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreReaderTests);
--- a/src/relay/tests/zone_sum_tests.cc
+++ b/src/relay/tests/zone_sum_tests.cc
@@ -453,7 +453,11 @@
     }
     CPPUNIT_ASSERT(waits >= 6);
     CPPUNIT_ASSERT(waits <= 12);
-    harness.RunFor(std::chrono::seconds(5));
+    for (int second = 0; second < 5; ++second) {
+      harness.RunFor(std::chrono::seconds(1));
+      harness.Feed(TableOffset{.next_ = version, .polled_ = true});
+    }
+    harness.Take<AwaitTable>();
     harness.Feed(
         TableRead{.table_ = RelayHarness::Table(version + 1), .text_ = "text"});
     harness.Feed(TableOffset{.next_ = version + 1});
--- a/src/relaymodel/fleet_simulator.cc
+++ b/src/relaymodel/fleet_simulator.cc
@@ -17,6 +17,8 @@
 constexpr Duration kStoreLatency = std::chrono::milliseconds(4);
 // Time beyond the requested wait after which a call to the store fails.
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
+// Idle connections to the store that a host keeps.
+constexpr int kIdleStoreConnections = 4;
 constexpr Duration kBackendLatency = std::chrono::microseconds(200);
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(1500);
 constexpr std::size_t kResponseBodyBytes = 600;
@@ -78,6 +80,8 @@
   RelayState state_;
   std::optional<Timestamp> wake_at_;
   bool store_is_silent_ = false;
+  int silent_connections_ = 0;  // idle ones to the store
+  std::uint64_t polls_given_up_ = 0;
   bool frozen_ = false;
   std::vector<std::shared_ptr<RelayEventBody>> held_;  // while it is frozen
   bool backend_alive_ = true;
@@ -349,11 +353,14 @@
                                              : BackendProbeResult::kRefused;
     FeedLater(kBackendLatency, BackendProbed{.probe_ = probe});
   }
-  void operator()(ReadTable&) const { simulator_.ReadNewestDocument(index_); }
+  void operator()(ReadTable& effect) const {
+    simulator_.ReadNewestDocument(index_, effect);
+  }
   void operator()(AwaitTable& effect) const {
     simulator_.PollDocuments(index_, effect);
   }
   void operator()(AbandonPoll&) const {
+    ++node().polls_given_up_;
     std::erase_if(simulator_.polls_, [&](const auto& entry) {
       return entry.second.host_ == index_ &&
              entry.second.process_ == node().process_;
@@ -725,17 +732,39 @@
 }
 
 bool FleetSimulator::LoseStoreCall(std::size_t index, StoreCall call,
-                                   Duration wait) {
-  if (!nodes_[index]->store_is_silent_) return false;
-  EffectRunner{*this, index}.FeedLater(
-      wait + kStoreTimeout,
-      StoreFailed{.call_ = call, .fault_ = StoreFault::kNoAnswer});
+                                   Duration wait, bool new_connection) {
+  Node& node = *nodes_[index];
+  if (new_connection) node.silent_connections_ = 0;
+  const bool silent_connection = node.silent_connections_ > 0;
+  if (silent_connection) --node.silent_connections_;
+  if (!silent_connection && !node.store_is_silent_) return false;
+  FailStoreCall(index, call, wait + kStoreTimeout);
   return true;
 }
 
-void FleetSimulator::ReadNewestDocument(std::size_t index) {
+void FleetSimulator::FailStoreCall(std::size_t index, StoreCall call,
+                                   Duration wait) {
+  const std::uint64_t process = nodes_[index]->process_;
+  const std::uint64_t given_up = nodes_[index]->polls_given_up_;
+  At(now_ + wait, [this, index, call, process, given_up] {
+    Node& node = *nodes_[index];
+    if (node.process_ != process) return;
+    if (call == StoreCall::kAwaitTable && node.polls_given_up_ != given_up) {
+      return;
+    }
+    // The client closes the connections that have been silent as long.
+    node.silent_connections_ = 0;
+    Feed(index, StoreFailed{.call_ = call, .fault_ = StoreFault::kNoAnswer});
+  });
+}
+
+void FleetSimulator::ReadNewestDocument(std::size_t index,
+                                        const ReadTable& read) {
   ++store_calls_;
-  if (LoseStoreCall(index, StoreCall::kReadTable, Duration::zero())) return;
+  if (LoseStoreCall(index, StoreCall::kReadTable, Duration::zero(),
+                    read.new_connection_)) {
+    return;
+  }
   const EffectRunner runner{*this, index};
   if (!documents_.empty()) {
     runner.FeedStoreAnswer(
@@ -746,7 +775,10 @@
 
 void FleetSimulator::PollDocuments(std::size_t index, const AwaitTable& poll) {
   ++store_calls_;
-  if (LoseStoreCall(index, StoreCall::kAwaitTable, poll.wait_)) return;
+  if (LoseStoreCall(index, StoreCall::kAwaitTable, poll.wait_,
+                    poll.new_connection_)) {
+    return;
+  }
   if (poll.from_ > documents_.size()) {
     return EffectRunner{*this, index}.FeedStoreAnswer(StoreFailed{
         .call_ = StoreCall::kAwaitTable, .fault_ = StoreFault::kHistoryLost});
@@ -828,6 +860,12 @@
         node.store_is_silent_ = true;
         LoseWaitingPoll(i);
         break;
+      case ReaderFault::kSilentConnections:
+        node.silent_connections_ = kIdleStoreConnections;
+        LoseWaitingPoll(i);
+        document_audit_.BeginDisturbance(i);
+        document_audit_.EndDisturbance(now_, i);
+        continue;
     }
     document_audit_.BeginDisturbance(i);
   }
@@ -835,14 +873,11 @@
 }
 
 void FleetSimulator::LoseWaitingPoll(std::size_t index) {
-  const EffectRunner runner{*this, index};
   std::erase_if(polls_, [&](const auto& entry) {
     const Poll& poll = entry.second;
     if (poll.host_ != index) return false;
     if (poll.process_ == nodes_[index]->process_) {
-      runner.FeedLater(poll.fails_at_ - now_,
-                       StoreFailed{.call_ = StoreCall::kAwaitTable,
-                                   .fault_ = StoreFault::kNoAnswer});
+      FailStoreCall(index, StoreCall::kAwaitTable, poll.fails_at_ - now_);
     }
     return true;
   });
@@ -853,6 +888,8 @@
   for (const std::size_t i : hosts) {
     Node& node = *nodes_[i];
     switch (fault) {
+      case ReaderFault::kSilentConnections:
+        continue;
       case ReaderFault::kCutOff:
         cut_off_hosts_.erase(i);
         continue;
--- a/src/relaymodel/fleet_simulator.h
+++ b/src/relaymodel/fleet_simulator.h
@@ -144,9 +144,12 @@
                          AnswerHandler handler);
   // The store does not answer a call of a host, which therefore fails after
   // this time. Returns false if it does answer.
-  bool LoseStoreCall(std::size_t index, StoreCall call, Duration wait);
+  bool LoseStoreCall(std::size_t index, StoreCall call, Duration wait,
+                     bool new_connection = false);
+  // Reports a lost call to its host, unless it has given the call up by then.
+  void FailStoreCall(std::size_t index, StoreCall call, Duration wait);
   void LoseWaitingPoll(std::size_t index);
-  void ReadNewestDocument(std::size_t index);
+  void ReadNewestDocument(std::size_t index, const ReadTable& read);
   void PollDocuments(std::size_t index, const AwaitTable& poll);
   // Answers a poll with the documents from its offset on.
   void AnswerPoll(std::uint64_t poll_id);
--- a/src/relaymodel/fleet_types.h
+++ b/src/relaymodel/fleet_types.h
@@ -152,6 +152,8 @@
   kSilentStore,  // the store does not answer them
   kFrozen,       // their processes stand still
   kCutOff,       // they reach the store, but no other host
+  // Open connections to the store fall silent for good; new ones work.
+  kSilentConnections,
 };
 
 // A period in which all nodes that read the store when it begins are disturbed
--- a/src/relaymodel/tests/silenced_reader_tests.cc
+++ b/src/relaymodel/tests/silenced_reader_tests.cc
@@ -26,6 +26,7 @@
 class SilencedReaderTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SilencedReaderTests);
   CPPUNIT_TEST(DocumentsAreInForceThoughAllReadersAreSilenced);
+  CPPUNIT_TEST(DocumentsAreInForceAfterConnectionsFellSilent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -84,6 +85,43 @@
       }
     }
   }
+
+  // A call to the store that is repeated on one silent connection after the
+  // other keeps a host without documents for longer than hosts count as out of
+  // touch after the silence.
+  void DocumentsAreInForceAfterConnectionsFellSilent() {
+    struct Row {
+      const char* name_;
+      Fleet fleet_;
+      std::vector<int> silences_ms_;
+    };
+    const Row rows[] = {
+        {"16 hosts", BrolgaFleet(false), {8310}},
+        {"16 hosts, before a document", BrolgaFleet(false), {8950}},
+        {"16 hosts, twice", BrolgaFleet(false), {8310, 9900}},
+        {"66 hosts", BrolgaFleet(true), {8310}},
+        {"97 hosts in 8 zones", LargeBrolgaFleet(), {8310}},
+    };
+    for (const Row& row : rows) {
+      FleetRunOptions options{
+          .length_ = seconds(18),
+          .documents_ = DocumentSeries(milliseconds(8000), seconds(17),
+                                       milliseconds(700)),
+          .base_factor_ = 0.1};
+      for (const int silence : row.silences_ms_) {
+        options.reader_faults_.push_back(
+            {.fault_ = ReaderFault::kSilentConnections,
+             .from_ = milliseconds(silence),
+             .to_ = milliseconds(silence + 1),
+             .spared_ = 0});
+      }
+      const FleetResult result = RunFleet(row.fleet_, {}, options);
+      CPPUNIT_ASSERT_MESSAGE(
+          std::string(row.name_) + ": " +
+              std::to_string(InSeconds(result.max_document_delay_)),
+          result.max_document_delay_ <= kInForceWithin);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilencedReaderTests);
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -93,6 +93,10 @@
       return "store_lost";
     case DecisionKind::kStoreBack:
       return "store_back";
+    case DecisionKind::kStoreUnanswered:
+      return "store_unanswered";
+    case DecisionKind::kPollGivenUp:
+      return "poll_given_up";
     case DecisionKind::kStoreRestored:
       return "store_restored";
     case DecisionKind::kReaderChanged:
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -71,9 +71,11 @@
     shell_.backend_.Abort(effect.run_id_);
   }
   void operator()(ProbeBackend&) const { shell_.backend_.Probe(); }
-  void operator()(ReadTable&) const { shell_.store_.read_table_(); }
+  void operator()(ReadTable& effect) const {
+    shell_.store_.read_table_(effect);
+  }
   void operator()(AwaitTable& effect) const {
-    shell_.store_.await_table_(effect.from_, effect.wait_);
+    shell_.store_.await_table_(effect);
   }
   void operator()(AbandonPoll&) const { shell_.store_.abandon_poll_(); }
   void operator()(AnnounceNode&) const { shell_.store_.announce_(); }
@@ -210,7 +212,7 @@
       .on_outbound_ =
           [this](const std::string& peer, LinkMessage message) {
             if (const auto* text = std::get_if<TableText>(&message)) {
-              return FeedTable(*text);
+              return FeedTable(peer, *text);
             }
             Feed(LinkReceived{.peer_ = peer, .message_ = std::move(message)});
           },
@@ -220,14 +222,16 @@
           [this](const std::string& peer) { Feed(PeerDisconnected{peer}); }};
 }
 
-void RelayShell::FeedTable(const TableText& text) {
+void RelayShell::FeedTable(const std::string& peer, const TableText& text) {
   std::optional<RouteTable> table = protocol_.decode_table_(text.text_);
   if (!table) {
     return Feed(
-        InputUnreadable{.source_ = "routing document", .detail_ = "peer"});
+        InputUnreadable{.source_ = "routing document", .detail_ = peer});
   }
-  Feed(TableRead{
-      .from_peer_ = true, .table_ = std::move(*table), .text_ = text.text_});
+  Feed(TableRead{.from_peer_ = true,
+                 .peer_ = peer,
+                 .table_ = std::move(*table),
+                 .text_ = text.text_});
 }
 
 void RelayShell::OnRequest(std::uint64_t id, Http1Request request) {
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -66,9 +66,8 @@
 // Asynchronous calls to the platform's store. Each reports its result in one
 // or more events to RelayShell::Feed.
 struct StoreInterface {
-  std::function<void()> read_table_;  // reads the newest routing document
-  // Waits for a routing document at offset `from` or later, for at most `wait`.
-  std::function<void(std::uint64_t from, Duration wait)> await_table_;
+  std::function<void(const ReadTable&)> read_table_;
+  std::function<void(const AwaitTable&)> await_table_;
   std::function<void()> abandon_poll_;  // gives up await_table_, unreported
   std::function<void()> announce_;      // lists this node in the store
   std::function<void()> read_nodes_;    // reads the nodes that the store lists
@@ -128,7 +127,7 @@
   Http1ServerOptions ServerOptions(const ClientLimits& limits);
   PeerLinks::Handlers LinkHandlers();
   // Decodes a routing document of a peer and passes it to the reducer.
-  void FeedTable(const TableText& text);
+  void FeedTable(const std::string& peer, const TableText& text);
 
   RelayShellOptions options_;
   PlatformProtocol protocol_;
