Planned stop: late requests are not broken off

Callers: a request that arrived between 3.0 and 3.2 s after the SIGTERM, and any call of the backend server beside the process until 5.2 s, was passed on with all of its time and answered 502 at 5.2 s while its backend server worked on it.

Cause: the stop bounded when requests are taken, not how long they may run.

Now clients' requests are refused from 2.8 s on, when clients have moved away. A call ends before the final answers: its run gets the time that is left, less 0.15 s, so that the backend server ends it with a response of its own, and it is refused as not run if that is less than 0.15 s or three times its usual time. After the process has decided to exit everything is refused.

RequestsThatOutlastAStopAreAnswered stays as it was, for requests that arrive early; LateRequestsAreNotBrokenOffByAStop adds the late ones.

--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -13,6 +13,11 @@
 namespace jujubefront {
 namespace {
 
+// A call beside a stopping process is refused if less time is left than this,
+// or than its usual time multiplied by the margin.
+constexpr Duration kMinCallTime = std::chrono::milliseconds(150);
+constexpr double kCallTimeMargin = 3.0;
+
 // Retry-After while this node has no routing document yet.
 constexpr Duration kShortRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
@@ -164,24 +169,27 @@
 
 RunOrder MakeOrder(RelayStep& step, const OpenRequest& request,
                    const Peer& peer) {
-  return {.send_id_ = request.send_id_,
-          .trace_id_ = request.trace_id_,
-          .sent_at_ = step.now_.time_since_epoch(),
-          .instance_ = peer.status_.instance_,
-          .route_ = request.route_,
-          .caller_service_ = step.options_.service_,
-          .workspace_ = request.workspace_,
-          .content_ = request.content_,
-          .workspace_priority_ = request.workspace_priority_,
-          .priority_ = request.priority_,
-          .is_call_ = request.is_call_,
-          .tree_rank_ = request.tree_rank_,
-          .is_repeat_ = request.is_repeat_,
-          .idempotent_ = request.idempotent_,
-          .remaining_ = request.deadline_ - step.now_,
-          .objective_left_ = request.objective_at_ - step.now_,
-          .known_ = KnownStatement(peer),
-          .request_ = request.request_};
+  return {
+      .send_id_ = request.send_id_,
+      .trace_id_ = request.trace_id_,
+      .sent_at_ = step.now_.time_since_epoch(),
+      .instance_ = peer.status_.instance_,
+      .route_ = request.route_,
+      .caller_service_ = step.options_.service_,
+      .workspace_ = request.workspace_,
+      .content_ = request.content_,
+      .workspace_priority_ = request.workspace_priority_,
+      .priority_ = request.priority_,
+      .is_call_ = request.is_call_,
+      .tree_rank_ = request.tree_rank_,
+      .is_repeat_ = request.is_repeat_,
+      .idempotent_ = request.idempotent_,
+      // A run that outlasted a stop would be broken off; the backend server
+      // ends it in time instead, with a response of its own.
+      .remaining_ = std::min(request.deadline_, LatestRunEnd(step)) - step.now_,
+      .objective_left_ = request.objective_at_ - step.now_,
+      .known_ = KnownStatement(peer),
+      .request_ = request.request_};
 }
 
 void CountCrossing(RelayStep& step, const Peer& peer) {
@@ -445,7 +453,11 @@
   if (route.needs_key_) request.key_ = arrived.key_;
   request.objective_at_ = step.now_ + route.latency_objective_;
   const bool returning = CountDemand(step, route, remaining, request.is_call_);
-  if (request.is_call_) return request;
+  if (request.is_call_) {
+    // Otherwise the final answers of a stop would break it off.
+    request.deadline_ = std::min(request.deadline_, FinalAnswersAt(step));
+    return request;
+  }
   request.is_returning_ = returning;
   const Duration usual = step.state_.demands_[route.name_].usual_time_left_;
   request.objective_at_ -= std::max(Duration::zero(), usual - remaining);
@@ -472,6 +484,18 @@
          step.now_ - step.state_.stop_at_ >= step.options_.stop_linger_;
 }
 
+// Whether a call is likely to end before a planned stop does.
+bool CanEndBeforeStop(const RelayStep& step, const OpenRequest& request) {
+  if (!step.state_.stopping_) return true;
+  const auto profile = step.state_.profiles_.find(request.route_);
+  const double usual = profile == step.state_.profiles_.end()
+                           ? 0.0
+                           : profile->second.slot_seconds_;
+  const auto needed =
+      Duration(static_cast<std::int64_t>(kCallTimeMargin * usual * 1e6));
+  return LatestRunEnd(step) - step.now_ >= std::max(kMinCallTime, needed);
+}
+
 // Draws whether a client's request is admitted, by the admitted share of its
 // route.
 bool IsAdmitted(RelayStep& step, const OpenRequest& request) {
@@ -542,8 +566,9 @@
     request.is_repeat_ = known && parent->second.order_.is_repeat_;
     if (known) request.tree_rank_ = parent->second.order_.tree_rank_;
   }
-  if (state.final_answers_sent_ ||
-      (!request.is_call_ && IsRefusingNewClients(step))) {
+  if (state.final_answers_sent_ || state.stopped_ ||
+      (request.is_call_ ? !CanEndBeforeStop(step, request)
+                        : IsRefusingNewClients(step))) {
     return Refuse(step, request, ReasonText(NotRunReason::kStopping));
   }
   if (!IsAdmitted(step, request)) {
--- a/src/relay/internal/planned_stop.cc
+++ b/src/relay/internal/planned_stop.cc
@@ -5,6 +5,8 @@
 
 // Requests that are still open are answered this long before the stop limit.
 constexpr Duration kFinalAnswersMargin = std::chrono::milliseconds(300);
+// Time for the response of a run that ends at its deadline.
+constexpr Duration kResponseMargin = std::chrono::milliseconds(150);
 
 }  // namespace
 
@@ -33,13 +35,23 @@
   BroadcastStatus(step);
 }
 
+Timestamp FinalAnswersAt(const RelayStep& step) {
+  if (!step.state_.stopping_) return Timestamp::max();
+  return step.state_.stop_at_ + step.options_.stop_limit_ - kFinalAnswersMargin;
+}
+
+Timestamp LatestRunEnd(const RelayStep& step) {
+  if (!step.state_.stopping_) return Timestamp::max();
+  return FinalAnswersAt(step) - kResponseMargin;
+}
+
 void TickStop(RelayStep& step) {
   RelayState& state = step.state_;
   if (!state.stopping_ || state.stopped_) return;
   const Duration since = step.now_ - state.stop_at_;
   const bool idle = state.requests_.empty() && state.runs_.empty();
   if (since < step.options_.stop_linger_) return;
-  if (!idle && since < step.options_.stop_limit_ - kFinalAnswersMargin) return;
+  if (!idle && step.now_ < FinalAnswersAt(step)) return;
   if (!idle && !state.final_answers_sent_) {
     // The process exits at a later tick, so that the answers can be sent.
     state.final_answers_sent_ = true;
@@ -47,7 +59,9 @@
   }
   if (!idle && since < step.options_.stop_limit_) return;
   state.stopped_ = true;
-  step.effects_.emplace_back(EndProcess{.cut_off_ = state.requests_.size()});
+  step.effects_.emplace_back(
+      EndProcess{.cut_off_ = state.requests_.size(),
+                 .deliver_until_ = state.stop_at_ + step.options_.stop_limit_});
 }
 
 }  // namespace jujubefront
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -262,6 +262,10 @@
 
 // Planned stop and readiness.
 
+// Time at which a planned stop answers what is still open, and the latest end
+// of a run whose response is in time for it; Timestamp::max() without a stop.
+Timestamp FinalAnswersAt(const RelayStep& step);
+Timestamp LatestRunEnd(const RelayStep& step);
 void OnStopRequested(RelayStep& step);
 // Advances a planned stop: waits for open requests, answers the remaining ones
 // shortly before the limit, and exits.
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -109,9 +109,10 @@
 // From now on every answer asks its client to close the connection.
 struct CloseClients {};
 
-// Exits the process.
+// Exits the process as soon as its responses are delivered.
 struct EndProcess {
   std::uint64_t cut_off_ = 0;  // requests left without an answer
+  Timestamp deliver_until_;    // exits then at the latest
 };
 
 // Kind of an entry in the decision log.
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -105,7 +105,7 @@
   Duration document_deadline_ = std::chrono::milliseconds(2500);
   // Planned stop: the node still accepts clients for stop_linger_, and exits
   // after stop_limit_ at the latest.
-  Duration stop_linger_ = std::chrono::milliseconds(3200);
+  Duration stop_linger_ = std::chrono::milliseconds(2800);
   Duration stop_limit_ = std::chrono::milliseconds(5500);
   // One in this many successful requests is logged step by step; 0: none.
   std::uint32_t trace_sample_ = 64;
--- a/src/relay/tests/relay_tests.cc
+++ b/src/relay/tests/relay_tests.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(StatusesOfAnOlderConnectionAreIgnored);
   CPPUNIT_TEST(StoppingNodeEndsOnlyWhenIdle);
   CPPUNIT_TEST(RequestsNearTheEndOfAStopAreRefused);
+  CPPUNIT_TEST(LateRequestsAreNotBrokenOffByAStop);
   CPPUNIT_TEST(RequestsThatOutlastAStopAreAnswered);
   CPPUNIT_TEST(SaturatedServiceShedsLessImportantRequests);
   CPPUNIT_TEST_SUITE_END();
@@ -170,9 +171,89 @@
     }
   }
 
-  // A request may have more time left than the stop, or the process may be
-  // suspended during the stop. In both cases the client must be answered before
-  // the process ends, not have its connection reset.
+  // At the end of a stop, open requests get an answer of the node's own, though
+  // a backend server may be at work on them. That must not happen to requests
+  // that arrive late in the stop: clients can go to another node, and a call
+  // has to end in time by itself.
+  void LateRequestsAreNotBrokenOffByAStop() {
+    struct Row {
+      const char* name_;
+      Duration stopping_for_;
+      bool is_call_;
+      Duration remaining_;
+      bool passed_on_;
+      int last_status_;  // if no backend server answers
+    };
+    using std::chrono::milliseconds;
+    RelayOptions options = RelayHarness::DefaultOptions();
+    const Duration final_answers = options.stop_limit_ - milliseconds(300);
+    const Row rows[] = {
+        {"early request that outlasts the stop", milliseconds(2000), false,
+         milliseconds(4000), true, 502},
+        {"early request", milliseconds(2000), false, milliseconds(900), true,
+         504},
+        {"request when clients have moved", milliseconds(2900), false,
+         milliseconds(900), false, 503},
+        {"late call that ends in time", milliseconds(3500), true,
+         milliseconds(900), true, 504},
+        {"late call that outlasts the stop", milliseconds(3500), true,
+         milliseconds(4000), true, 504},
+        {"call just before the end", final_answers - milliseconds(250), true,
+         milliseconds(900), false, 503},
+        {"call after the final answers", final_answers + milliseconds(100),
+         true, milliseconds(900), false, 503}};
+    for (const Row& row : rows) {
+      RelayHarness harness(options);
+      RouteTable table = RelayHarness::Table(1);
+      for (RouteRule& route : table.routes_) {
+        route.timeout_ = std::chrono::seconds(10);
+      }
+      harness.Feed(TableRead{.table_ = table, .text_ = "text"});
+      harness.AddPeer(kPeer, 1);
+      // Keeps the process from ending as soon as it is idle.
+      harness.SendRequest(2, "/book/1", std::chrono::seconds(9));
+      harness.Feed(StopRequested{});
+      RunBesideAPeer(harness, row.stopping_for_);
+      harness.TakeRunOrders();
+      harness.Take<AnswerRequest>();
+      if (row.is_call_) harness.state().called_routes_.insert("book");
+      harness.Feed(
+          RequestArrived{.request_id_ = 1,
+                         .trace_id_ = "t",
+                         .host_ = "h",
+                         .remaining_ = row.remaining_,
+                         .request_ = {.method_ = "GET", .target_ = "/book/1"}});
+      const auto orders = harness.TakeRunOrders();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.passed_on_, !orders.empty());
+      const Duration left = final_answers - row.stopping_for_;
+      if (row.passed_on_ && row.is_call_) {
+        // The backend server ends its work before the node would.
+        CPPUNIT_ASSERT_MESSAGE(row.name_,
+                               orders.front().second.remaining_ < left);
+      }
+      int status = 0;
+      for (int i = 0; i < 1000 && status == 0; ++i) {
+        for (const AnswerRequest& answer : harness.Take<AnswerRequest>()) {
+          if (answer.request_id_ == 1) status = answer.response_.status_;
+        }
+        if (status == 0) RunBesideAPeer(harness, milliseconds(50));
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.last_status_, status);
+    }
+  }
+
+  // Advances the clock while a peer sends statuses and other messages.
+  static void RunBesideAPeer(RelayHarness& harness, Duration time) {
+    constexpr Duration kStep = std::chrono::milliseconds(50);
+    for (Duration left = time; left > Duration::zero(); left -= kStep) {
+      harness.RunFor(kStep);
+      harness.AddPeer(kPeer, 1);
+      harness.Feed(LinkReceived{.peer_ = kPeer, .message_ = PeerPong{}});
+    }
+  }
+
+  // A process may be suspended while it stops. The client must be answered
+  // before the process ends, not have its connection reset.
   void RequestsThatOutlastAStopAreAnswered() {
     struct Row {
       const char* name_;
