Planned stop: the process exits when its responses are delivered

Cause: the process exited when no request was open, whatever was still unsent. Now the exit waits until clients and peers have acknowledged what was sent to them, or until the stop limit.

--- a/src/http1/http1_server.cc
+++ b/src/http1/http1_server.cc
@@ -83,6 +83,14 @@
   return total;
 }
 
+std::size_t Http1Server::undelivered_bytes() const {
+  std::size_t total = 0;
+  for (const auto& [id, connection] : connections_) {
+    total += connection->socket_->undelivered_bytes();
+  }
+  return total;
+}
+
 void Http1Server::OnConnection(TcpConnection* socket) {
   if (connections_.size() >= options_.max_connections_) {
     socket->Abort();
--- a/src/http1/http1_server.h
+++ b/src/http1/http1_server.h
@@ -63,6 +63,8 @@
   std::size_t connections() const { return connections_.size(); }
   // Response bytes of all connections that are still buffered for sending.
   std::size_t unsent_bytes() const;
+  // Response bytes that clients have not acknowledged yet.
+  std::size_t undelivered_bytes() const;
 
  private:
   struct Connection;
--- a/src/netio/tcp_connection.cc
+++ b/src/netio/tcp_connection.cc
@@ -2,9 +2,11 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -237,6 +239,14 @@
   return count >= 0 || (errno != EAGAIN && errno != EINTR);
 }
 
+std::size_t TcpConnection::undelivered_bytes() const {
+  int queued = 0;
+  if (ended_ || descriptor_ < 0) return 0;
+  // Without the kernel's count, what it has taken counts as delivered.
+  if (ioctl(descriptor_, SIOCOUTQ, &queued) != 0) queued = 0;
+  return unsent_bytes() + static_cast<std::size_t>(std::max(0, queued));
+}
+
 void TcpConnection::End(ConnectionEnd end) {
   if (ended_) return;
   Watch(false, false);
--- a/src/netio/tcp_connection.h
+++ b/src/netio/tcp_connection.h
@@ -82,6 +82,8 @@
 
   bool connected() const { return connected_; }
   std::size_t unsent_bytes() const { return outbox_.size() - outbox_start_; }
+  // Bytes that the other side has not acknowledged yet, unsent ones included.
+  std::size_t undelivered_bytes() const;
 
  private:
   TcpConnection(int descriptor, bool connected, const SilenceOptions& silence);
--- a/src/relaylink/peer_links.cc
+++ b/src/relaylink/peer_links.cc
@@ -105,6 +105,14 @@
   found->second->Write(EncodeLinkMessage(message));
 }
 
+std::size_t PeerLinks::undelivered_replies() const {
+  std::size_t total = 0;
+  for (const auto& [id, socket] : inbound_) {
+    total += socket->undelivered_bytes();
+  }
+  return total;
+}
+
 void PeerLinks::SendBack(std::uint64_t connection_id,
                          const LinkMessage& message) {
   const auto found = inbound_.find(connection_id);
--- a/src/relaylink/peer_links.h
+++ b/src/relaylink/peer_links.h
@@ -39,6 +39,8 @@
   void Disconnect(const std::string& peer);
   // Sends on the outbound connection; the message is dropped if there is none.
   void Send(const std::string& peer, const LinkMessage& message);
+  // Bytes of replies that peers have not acknowledged yet.
+  std::size_t undelivered_replies() const;
   // Replies on an inbound connection.
   void SendBack(std::uint64_t connection_id, const LinkMessage& message);
 
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr int kCutOffExitCode = 3;
+// Interval at which a process that is to exit checks its unsent responses.
+constexpr Duration kDeliveryCheck = std::chrono::milliseconds(20);
 
 BackendExchangeFailure ToBackendBreak(Http1Failure failure) {
   switch (failure) {
@@ -90,8 +92,7 @@
   void operator()(SetReady& effect) const { shell_.ready_ = effect.ready_; }
   void operator()(CloseClients&) const { shell_.clients_.StartClosing(); }
   void operator()(EndProcess& effect) const {
-    shell_.log_.WriteStop(static_cast<std::int64_t>(effect.cut_off_));
-    shell_.on_exit_(effect.cut_off_ == 0 ? 0 : kCutOffExitCode);
+    shell_.ExitWhenDelivered(effect);
   }
   void operator()(Decision& effect) const { shell_.log_.Write(Now(), effect); }
 };
@@ -145,6 +146,21 @@
 
 RelayShell::~RelayShell() = default;
 
+// The kernel keeps sending after the exit, but it resets a connection with
+// unread input, and a slow reader may not take what is buffered here.
+void RelayShell::ExitWhenDelivered(const EndProcess& end) {
+  const std::size_t undelivered =
+      clients_.undelivered_bytes() + links_.undelivered_replies();
+  if (undelivered > 0 && Now() < end.deliver_until_) {
+    QTimer::singleShot(
+        std::chrono::duration_cast<std::chrono::milliseconds>(kDeliveryCheck),
+        this, [this, end] { ExitWhenDelivered(end); });
+    return;
+  }
+  log_.WriteStop(static_cast<std::int64_t>(end.cut_off_));
+  on_exit_(end.cut_off_ == 0 ? 0 : kCutOffExitCode);
+}
+
 std::optional<std::string> RelayShell::Start() {
   if (!links_.Listen(options_.link_address_)) return options_.link_address_;
   if (!clients_.Listen(options_.client_address_)) {
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -123,6 +123,7 @@
   // Starts the timer for the reducer's next timer event.
   void ScheduleWake();
   void OnRequest(std::uint64_t id, Http1Request request);
+  void ExitWhenDelivered(const EndProcess& end);
   void OnBackendResponse(std::uint64_t run_id, Http1Response response);
   Http1ServerOptions ServerOptions(const ClientLimits& limits);
   PeerLinks::Handlers LinkHandlers();
--- a/standins/platform/backend_standin.cc
+++ b/standins/platform/backend_standin.cc
@@ -141,7 +141,7 @@
                        .headers_ = {{"X-Request-Id", trace},
                                     {"X-Server-Stamp", options_.instance_},
                                     {"X-Server-Load", "1,0,16"}},
-                       .body_ = trace + std::string(600, 'b')};
+                       .body_ = trace + std::string(body_bytes_, 'b')};
   AddStatements(answer.headers_);
   server_->Answer(id, std::move(answer));
 }
--- a/standins/platform/backend_standin.h
+++ b/standins/platform/backend_standin.h
@@ -48,6 +48,8 @@
   void SendHeartbeat();
   void Drain();
   void SetWork(Duration work) { options_.work_ = work; }
+  // Sets the size of the answers' bodies, beside the request's id.
+  void SetBodyBytes(std::size_t bytes) { body_bytes_ = bytes; }
   // Rejects all requests with this status without running them; 0 stops that.
   void RejectWith(int status) { reject_status_ = status; }
   // Runs each request, then closes its connection instead of answering.
@@ -94,6 +96,7 @@
   std::uint64_t sequence_ = 0;
   bool draining_ = false;
   int reject_status_ = 0;
+  std::size_t body_bytes_ = 600;
   bool lose_answers_ = false;
   RateLimitAudit limit_audit_;  // of the current instance
   std::function<bool(const std::string&)> counts_ = [](const auto&) {
--- a/standins/platform/path_tests.cc
+++ b/standins/platform/path_tests.cc
@@ -4,7 +4,9 @@
 #include <QCoreApplication>
 
 #include "base/tests/run_tests.h"
+#include "http1/http1_codec.h"
 #include "netio/application.h"
+#include "netio/tcp_connection.h"
 #include "sidecar_hosts.h"
 
 namespace jujubefront {
@@ -53,6 +55,7 @@
 class PathTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PathTests);
   CPPUNIT_TEST(ServesAndDrainsAndStops);
+  CPPUNIT_TEST(PlannedStopsDeliverAnswersThatClientsReadSlowly);
   CPPUNIT_TEST(ReportsFailuresOfBackendServers);
   CPPUNIT_TEST(AppliesDocumentsDespiteStoreOutages);
   CPPUNIT_TEST(SurvivesKilledAndPausedPeers);
@@ -109,6 +112,51 @@
     CPPUNIT_ASSERT_EQUAL(0, process->exitCode());
   }
 
+  // A process that exits as soon as every request is answered cuts off the
+  // answers that clients still read.
+  void PlannedStopsDeliverAnswersThatClientsReadSlowly() {
+    constexpr std::size_t kBodyBytes = 16 * 1024 * 1024;
+    // After the time for which a stopping process takes requests, which is 1.5
+    // s with the hosts' grace time of 3 s.
+    constexpr Duration kPause = std::chrono::milliseconds(1900);
+    Deployment deployment;
+    for (SidecarHost& host : deployment.hosts_.hosts()) {
+      host.backend_->SetBodyBytes(kBodyBytes);
+    }
+    std::size_t received = 0;
+    bool ended = false;
+    TcpConnection* client =
+        TcpConnection::Open(deployment.host(0).clients(), {});
+    client->SetHandlers({.on_connected_ =
+                             [&] {
+                               client->SetReading(false);
+                               client->Write(
+                                   WriteRequest(Client("slow", "/read/1")));
+                             },
+                         .on_data_ =
+                             [&] {
+                               received += client->inbox().size();
+                               client->Consume(client->inbox().size());
+                             },
+                         .on_flushed_ = {},
+                         .on_end_ = [&](ConnectionEnd) { ended = true; }});
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(3), [&] {
+      return Runs(deployment.hosts_, "slow") == 1;
+    }));
+    WaitUntil(std::chrono::milliseconds(200), [] { return false; });
+    QProcess* process = deployment.host(0).process_.get();
+    process->terminate();
+    WaitUntil(kPause, [] { return false; });
+    client->SetReading(true);
+    WaitUntil(std::chrono::seconds(3), [&] { return ended; });
+    client->Close();
+    CPPUNIT_ASSERT_GREATEREQUAL(kBodyBytes, received);
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(3), [&] {
+      return process->state() == QProcess::NotRunning;
+    }));
+    CPPUNIT_ASSERT_EQUAL(0, process->exitCode());
+  }
+
   // Guards against content that crashes every backend server that begins to
   // run it and is sent again to each host in turn: the hosts have to refuse it
   // after a few crashes and keep serving the other requests in between.
