--- a/standins/soak/silent_connection_tests.cc
+++ b/standins/soak/silent_connection_tests.cc
@@ -110,9 +110,9 @@
       hosts.Publish();
       WaitUntil(row.new_ones_for_, [] { return false; });
       hosts.SilenceNewToStore({});
-      CPPUNIT_ASSERT_MESSAGE(
-          row.name_,
-          WaitUntil(kStabilityWindow, [&] { return hosts.InForce(); }));
+      CPPUNIT_ASSERT_MESSAGE(row.name_, WaitUntil(kStabilityWindow, [&] {
+                               return hosts.InForce();
+                             }));
     }
   }
 };
