Planned stop: no new connections while responses are delivered

A process that has decided to exit waits until its responses are acknowledged. Refusals to clients that keep coming would put that off until the stop limit, and the restart with it.

--- a/src/http1/http1_server.h
+++ b/src/http1/http1_server.h
@@ -59,6 +59,9 @@
   // Sends "Connection: close" with every response from now on.
   void StartClosing() { closing_ = true; }
 
+  // Accepts no connections from now on; those that are open stay.
+  void StopAccepting() { listener_.close(); }
+
   std::size_t unanswered() const { return requests_.size(); }
   std::size_t connections() const { return connections_.size(); }
   // Response bytes of all connections that are still buffered for sending.
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -149,6 +149,8 @@
 // The kernel keeps sending after the exit, but it resets a connection with
 // unread input, and a slow reader may not take what is buffered here.
 void RelayShell::ExitWhenDelivered(const EndProcess& end) {
+  // Responses to new clients would put the exit off.
+  clients_.StopAccepting();
   const std::size_t undelivered =
       clients_.undelivered_bytes() + links_.undelivered_replies();
   if (undelivered > 0 && Now() < end.deliver_until_) {
