Departures: what a backend server announced outlives all processes

Cause: that it had left was only in the memory of processes, at its host and as BackendLeft at peers, and the call was acknowledged before anything outlasted these processes. IsOutdated compares with what one process has known since its own start. Ruled out: the order of heartbeats within a process (it is kept), and peers (they correct a restarted host, but not when they restarted too).

A new process reads the list first; a heartbeat that comes earlier is held until then, or until a read has failed 1.5 s after the start. A restored store gets the list again, spread as the announcements are.

New log lines: departure_recorded, departure_kept, departure_not_kept, departures_read; counters beside them.

--- a/apps/sidecar/main.cc
+++ b/apps/sidecar/main.cc
@@ -67,6 +67,9 @@
              .metrics_ = [this] { return shell_.Metrics(); }},
             kLinkSilence) {
     shell_.SetStore(store_.Interface());
+    shell_.SetBackendAnswers([this](const AnswerBackend& answer) {
+      endpoints_.AnswerBackendCall(answer);
+    });
   }
 
   std::optional<std::string> Start() {
--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -1,3 +1,6 @@
+#include <tuple>
+#include <utility>
+
 #include "relay/internal/relay_step.h"
 
 namespace jujubefront {
@@ -62,11 +65,24 @@
          heartbeat.sequence_ <= backend.sequence_;
 }
 
-}  // namespace
+// State of the incarnation after its heartbeat. It may have announced its end
+// to this process or an earlier one; a later heartbeat revokes only that it
+// drains.
+BackendState StateAfter(const RelayState& state,
+                        const BackendHeartbeat& heartbeat) {
+  const Departure* departure =
+      FindDeparture(state, heartbeat.instance_, heartbeat.started_at_ms_);
+  if (departure != nullptr && departure->left_.gone_) {
+    return BackendState::kGone;
+  }
+  const bool drains = heartbeat.draining_ || state.backend_.stated_leaving_ ||
+                      (departure != nullptr &&
+                       heartbeat.sequence_ <= departure->left_.sequence_);
+  return drains ? BackendState::kDraining : BackendState::kReady;
+}
 
-void OnBackendHeartbeat(RelayStep& step, const BackendHeartbeat& heartbeat) {
+void ApplyHeartbeat(RelayStep& step, const BackendHeartbeat& heartbeat) {
   LocalBackend& backend = step.state_.backend_;
-  if (heartbeat.address_ != step.options_.backend_address_) return;
   if (IsOutdated(backend, heartbeat)) return;
   const bool replaced = heartbeat.instance_ != backend.instance_ ||
                         heartbeat.started_at_ms_ != backend.started_at_ms_;
@@ -80,7 +96,10 @@
                    "new incarnation");
     step.state_.run_stats_.clear();
     backend.rate_limit_ = {};
-    backend.stated_leaving_ = false;
+    const Departure* departure = FindDeparture(step.state_, heartbeat.instance_,
+                                               heartbeat.started_at_ms_);
+    backend.stated_leaving_ =
+        departure != nullptr && departure->left_.sequence_ == kAnySequence;
     step.state_.recent_hold_ = Duration::zero();
     backend.state_ = BackendState::kUnknown;
   }
@@ -93,9 +112,10 @@
   backend.received_at_ = step.now_;
   step.state_.crash_evidence_.first_break_at_.reset();
   if (!replaced) step.state_.crash_evidence_.ended_ = {};
-  const BackendState state = heartbeat.draining_ || backend.stated_leaving_
-                                 ? BackendState::kDraining
-                                 : BackendState::kReady;
+  const BackendState state = StateAfter(step.state_, heartbeat);
+  if (state == BackendState::kReady) {
+    RemoveDeparture(step, heartbeat.instance_, heartbeat.started_at_ms_);
+  }
   if (state != backend.state_ || replaced || resized) {
     ChangeState(step, state, replaced ? "new instance" : "heartbeat");
   }
@@ -103,13 +123,68 @@
   RefuseWaiting(step, NotRunReason::kDraining);
 }
 
+void AnswerCall(RelayStep& step, std::uint64_t call_id, bool accepted) {
+  if (call_id == 0) return;
+  step.effects_.emplace_back(
+      AnswerBackend{.call_id_ = call_id, .accepted_ = accepted});
+}
+
+// Whether the first heartbeat was sent before the second.
+bool IsEarlier(const BackendHeartbeat& first, const BackendHeartbeat& second) {
+  return std::tie(first.started_at_ms_, first.sequence_) <
+         std::tie(second.started_at_ms_, second.sequence_);
+}
+
+}  // namespace
+
+void OnBackendHeartbeat(RelayStep& step, const BackendHeartbeat& heartbeat) {
+  if (heartbeat.address_ != step.options_.backend_address_) {
+    return AnswerCall(step, heartbeat.call_id_, true);
+  }
+  if (heartbeat.draining_) {
+    RecordDeparture(step, {.left_ = {.instance_ = heartbeat.instance_,
+                                     .started_at_ms_ = heartbeat.started_at_ms_,
+                                     .sequence_ = heartbeat.sequence_}});
+    ApplyHeartbeat(step, heartbeat);
+    return AnswerWhenKept(step, heartbeat.call_id_);
+  }
+  AnswerCall(step, heartbeat.call_id_, true);
+  DepartureLog& departures = step.state_.departures_;
+  if (departures.decided_) return ApplyHeartbeat(step, heartbeat);
+  if (!departures.held_ || IsEarlier(*departures.held_, heartbeat)) {
+    departures.held_ = heartbeat;
+  }
+}
+
+void ApplyHeldHeartbeat(RelayStep& step) {
+  const auto held = std::exchange(step.state_.departures_.held_, std::nullopt);
+  if (held) ApplyHeartbeat(step, *held);
+}
+
+void RecheckDeparture(RelayStep& step) {
+  const LocalBackend& backend = step.state_.backend_;
+  const Departure* departure =
+      FindDeparture(step.state_, backend.instance_, backend.started_at_ms_);
+  if (departure == nullptr) return;
+  BackendLeft left = departure->left_;
+  left.started_at_ms_ = backend.started_at_ms_;
+  OnBackendLeft(step, left);
+}
+
 void OnBackendDeregistered(RelayStep& step,
                            const BackendDeregistered& deregistered) {
-  LocalBackend& backend = step.state_.backend_;
-  if (deregistered.instance_ != backend.instance_) return;
-  if (backend.state_ == BackendState::kGone) return;
-  ChangeState(step, BackendState::kGone, "it said that it leaves");
-  RefuseWaiting(step, NotRunReason::kDraining);
+  const LocalBackend& backend = step.state_.backend_;
+  if (deregistered.instance_ != backend.instance_) {
+    return AnswerCall(step, deregistered.call_id_, true);
+  }
+  RecordDeparture(step, {.left_ = {.instance_ = backend.instance_,
+                                   .started_at_ms_ = backend.started_at_ms_,
+                                   .gone_ = true}});
+  if (backend.state_ != BackendState::kGone) {
+    ChangeState(step, BackendState::kGone, "it said that it leaves");
+    RefuseWaiting(step, NotRunReason::kDraining);
+  }
+  AnswerWhenKept(step, deregistered.call_id_);
 }
 
 bool HasLeft(const BackendLeft& left, const std::string& instance,
@@ -120,6 +195,7 @@
 
 void OnBackendLeft(RelayStep& step, const BackendLeft& left) {
   const LocalBackend& backend = step.state_.backend_;
+  RecordDeparture(step, {.left_ = left});
   if (backend.state_ != BackendState::kReady) return;
   if (!HasLeft(left, backend.instance_, backend.started_at_ms_,
                backend.sequence_)) {
@@ -135,6 +211,9 @@
   LocalBackend& backend = step.state_.backend_;
   if (backend.stated_leaving_) return;
   backend.stated_leaving_ = true;
+  RecordDeparture(step, {.left_ = {.instance_ = backend.instance_,
+                                   .started_at_ms_ = backend.started_at_ms_,
+                                   .sequence_ = kAnySequence}});
   if (backend.state_ == BackendState::kGone) return;
   ChangeState(step, BackendState::kDraining,
               "its answer states that it leaves");
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -84,6 +84,11 @@
 // The local backend server.
 
 void OnBackendHeartbeat(RelayStep& step, const BackendHeartbeat& heartbeat);
+// Applies a heartbeat that was received before the departures were read.
+void ApplyHeldHeartbeat(RelayStep& step);
+// The departures of earlier processes are known now, and may concern the
+// incarnation that this process takes for ready.
+void RecheckDeparture(RelayStep& step);
 void OnBackendDeregistered(RelayStep& step,
                            const BackendDeregistered& deregistered);
 // Applies what a response states about the incarnation that ran the run.
@@ -116,6 +121,31 @@
 bool HasLeft(const BackendLeft& left, const std::string& instance,
              std::int64_t started_at_ms, std::uint64_t sequence);
 
+// Departures of the local backend server.
+
+// Departure of this incarnation, or nullptr.
+const Departure* FindDeparture(const RelayState& state,
+                               const std::string& instance,
+                               std::int64_t started_at_ms);
+// Remembers the departure and has the store keep it.
+void RecordDeparture(RelayStep& step, const Departure& departure);
+// The incarnation is ready again after it had announced that it drains.
+void RemoveDeparture(RelayStep& step, const std::string& instance,
+                     std::int64_t started_at_ms);
+// Answers the call as soon as the store keeps all departures recorded so far,
+// or after a time limit.
+void AnswerWhenKept(RelayStep& step, std::uint64_t call_id);
+// Answers the calls whose time limit has come.
+void AnswerOverdueDepartures(RelayStep& step);
+void OnDeparturesRead(RelayStep& step, const DeparturesRead& read);
+void OnDeparturesNotRead(RelayStep& step);
+void OnDeparturesSaved(RelayStep& step);
+void OnDeparturesNotSaved(RelayStep& step);
+// Writes the departures to the store if it does not keep all of them.
+void SaveUnkeptDepartures(RelayStep& step);
+// The store may have lost what it kept. The next save writes all departures.
+void MarkDeparturesUnkept(RelayStep& step);
+
 // Unannounced ends of the local backend server.
 
 // Records a run that ended without a response.
--- a/src/relay/internal/store_reader.cc
+++ b/src/relay/internal/store_reader.cc
@@ -41,6 +41,10 @@
       return "read charges";
     case StoreCall::kSaveCharges:
       return "save charges";
+    case StoreCall::kReadDepartures:
+      return "read departures";
+    case StoreCall::kSaveDepartures:
+      return "save departures";
   }
   return "call";
 }
@@ -251,21 +255,22 @@
   return true;
 }
 
-// Lists this node again in a store of this era, which may have lost its entry.
-// The times of all nodes are spread.
-void ScheduleAnnounce(RelayStep& step, std::uint64_t era) {
+// Writes again what a store of this era may have lost: this node's entry and
+// the departures of its backend server. The times of all nodes are spread.
+void ScheduleWritesAgain(RelayStep& step, std::uint64_t era) {
   StoreState& store = step.state_.store_;
   if (store.announce_era_ == era) return;
   store.announce_era_ = era;
   const auto nodes = static_cast<std::int64_t>(step.state_.peers_.size());
   const Duration spread =
       std::max(kMinAnnounceSpread, kAnnounceSpacing * nodes);
-  const double unit = NextUnit(step.state_.random_);
-  ScheduleTimer(step,
-                step.now_ + Duration(static_cast<std::int64_t>(
-                                static_cast<double>(spread.count()) * unit)),
-                RelayTimerKind::kStore,
+  const Timestamp at =
+      step.now_ + ShareOf(spread, NextUnit(step.state_.random_));
+  ScheduleTimer(step, at, RelayTimerKind::kStore,
                 static_cast<std::uint64_t>(StoreCall::kAnnounce));
+  MarkDeparturesUnkept(step);
+  ScheduleTimer(step, at, RelayTimerKind::kStore,
+                static_cast<std::uint64_t>(StoreCall::kSaveDepartures));
 }
 
 // The store came back without its latest records. Offsets of before mean
@@ -277,7 +282,7 @@
   store.reads_again_ = store.reading_;
   StopPoll(step);
   if (was_waiting) StartRead(step);
-  ScheduleAnnounce(step, era);
+  ScheduleWritesAgain(step, era);
   if (RanksFirstInZone(step)) SaveAllCharges(step);
 }
 
@@ -320,10 +325,11 @@
 }
 
 void StartStore(RelayStep& step) {
-  step.state_.counters_.store_calls_ += 2;
+  step.state_.counters_.store_calls_ += 3;
   // Before the document: without one the node runs nothing, so that in general
   // it knows the condemned contents when it runs its first request.
   step.effects_.emplace_back(ReadCharges{});
+  step.effects_.emplace_back(ReadDepartures{});
   StartRead(step);
   step.effects_.emplace_back(AnnounceNode{});
 }
@@ -359,7 +365,7 @@
   if (era <= store.heard_era_) return;
   store.heard_era_ = era;
   if (!store.era_ || era <= *store.era_) return;
-  ScheduleAnnounce(step, era);
+  ScheduleWritesAgain(step, era);
   if (!store.waiting_ || !store.next_offset_) return;
   StopPoll(step);
   store.poll_at_once_ = true;
@@ -472,6 +478,8 @@
     store.reading_ = true;
   }
   if (failed.call_ == StoreCall::kSaveCharges) OnChargesNotSaved(step);
+  if (failed.call_ == StoreCall::kSaveDepartures) OnDeparturesNotSaved(step);
+  if (failed.call_ == StoreCall::kReadDepartures) OnDeparturesNotRead(step);
   ScheduleRetry(step, reread ? StoreCall::kReadTable : failed.call_);
 }
 
@@ -483,6 +491,7 @@
     return;
   }
   if (call == StoreCall::kSaveCharges) return SaveNextCharges(step);
+  if (call == StoreCall::kSaveDepartures) return SaveUnkeptDepartures(step);
   if (call == StoreCall::kReadTable) return SendRead(step, true);
   ++step.state_.counters_.store_calls_;
   if (call == StoreCall::kAnnounce) step.effects_.emplace_back(AnnounceNode{});
@@ -490,6 +499,9 @@
   if (call == StoreCall::kReadCharges) {
     step.effects_.emplace_back(ReadCharges{});
   }
+  if (call == StoreCall::kReadDepartures) {
+    step.effects_.emplace_back(ReadDepartures{});
+  }
 }
 
 }  // namespace jujubefront
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -194,6 +194,18 @@
   // Of the heartbeat that announced it; kAnySequence: an answer did.
   std::uint64_t sequence_ = 0;
   bool gone_ = false;  // serves no more, whatever its heartbeats say
+
+  bool operator==(const BackendLeft&) const = default;
+};
+
+// What a node keeps of a backend server that has announced its end.
+struct Departure {
+  BackendLeft left_;
+  // The announcement did not name a start: it also covers incarnations of the
+  // instance that started before started_at_ms_, the time of the announcement.
+  bool covers_earlier_starts_ = false;
+
+  bool operator==(const Departure&) const = default;
 };
 
 // An incarnation of a backend server ended while it ran a request with this
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -45,6 +45,8 @@
       return StartWaiting(step);
     case RelayTimerKind::kCrashReport:
       return ReportUnanswered(step);
+    case RelayTimerKind::kDepartureAnswer:
+      return AnswerOverdueDepartures(step);
     case RelayTimerKind::kTick:
       return OnTick(step);
     case RelayTimerKind::kStore:
@@ -143,6 +145,8 @@
   void operator()(NodeAnnounced&) const { OnNodeAnnounced(step_); }
   void operator()(ChargesRead& e) const { OnChargesRead(step_, e); }
   void operator()(ChargesSaved&) const { OnChargesSaved(step_); }
+  void operator()(DeparturesRead& e) const { OnDeparturesRead(step_, e); }
+  void operator()(DeparturesSaved&) const { OnDeparturesSaved(step_); }
   void operator()(StoreFailed& e) const { OnStoreFailed(step_, e); }
   void operator()(InputUnreadable& e) const {
     ++step_.state_.counters_.inputs_unreadable_;
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -96,6 +96,21 @@
   std::vector<ContentCharge> charges_;
 };
 
+// Reads the departures of the local backend server from the store.
+struct ReadDepartures {};
+
+// Replaces the departures of the local backend server that the store keeps for
+// later processes of this node.
+struct SaveDepartures {
+  std::vector<Departure> departures_;
+};
+
+// Answers a heartbeat or a deregistration of the local backend server.
+struct AnswerBackend {
+  std::uint64_t call_id_ = 0;
+  bool accepted_ = true;
+};
+
 // Applies the routing document's limits on client connections.
 struct ApplyClientLimits {
   ClientLimits limits_;
@@ -129,7 +144,11 @@
   kRunBroken,
   kBackendChanged,
   kBackendEnded,
-  kRateLimitChanged,  // named by the local backend server
+  kDepartureRecorded,  // the local backend server announced its end
+  kDepartureKept,      // the store keeps it
+  kDepartureNotKept,   // acknowledged, though the store does not keep it yet
+  kDeparturesRead,     // or the store did not answer
+  kRateLimitChanged,   // named by the local backend server
   kContentCharged,
   kContentCleared,
   kPeerChanged,
@@ -161,8 +180,9 @@
     std::variant<AnswerRequest, SendToPeer, SendBack, ConnectPeer,
                  DisconnectPeer, StartRun, AbortRun, ProbeBackend, ReadTable,
                  AwaitTable, AbandonPoll, AnnounceNode, ReadNodes, ReadCharges,
-                 SaveCharges, ApplyClientLimits, SetReady, CloseClients,
-                 EndProcess, Decision>;
+                 SaveCharges, ReadDepartures, SaveDepartures, AnswerBackend,
+                 ApplyClientLimits, SetReady, CloseClients, EndProcess,
+                 Decision>;
 
 }  // namespace jujubefront
 
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -112,6 +112,7 @@
 
 // Heartbeat of the local backend server.
 struct BackendHeartbeat {
+  std::uint64_t call_id_ = 0;  // of the effect AnswerBackend; 0: none is due
   std::string instance_;
   std::string service_;
   std::string address_;
@@ -123,7 +124,11 @@
 
 // The local backend server has deregistered and is about to exit.
 struct BackendDeregistered {
+  std::uint64_t call_id_ = 0;  // of the effect AnswerBackend; 0: none is due
   std::string instance_;
+  // As in its heartbeats; nullopt: the call does not name it.
+  std::optional<std::int64_t> started_at_ms_;
+  std::int64_t received_at_ms_ = 0;  // Unix time
 };
 
 // A routing document was received from the store or from a peer.
@@ -164,6 +169,14 @@
 // The effect SaveCharges has been carried out.
 struct ChargesSaved {};
 
+// Departures of the local backend server that the store keeps, oldest first.
+struct DeparturesRead {
+  std::vector<Departure> departures_;
+};
+
+// The effect SaveDepartures has been carried out.
+struct DeparturesSaved {};
+
 // Kinds of calls to the store.
 enum class StoreCall : std::uint8_t {
   kReadTable,
@@ -172,6 +185,8 @@
   kReadNodes,
   kReadCharges,
   kSaveCharges,
+  kReadDepartures,
+  kSaveDepartures,
 };
 
 // Why a call to the store failed.
@@ -205,14 +220,13 @@
 // The settings file has been reloaded.
 struct SettingsReloaded {};
 
-using RelayEventBody =
-    std::variant<RequestArrived, RequestCancelled, LinkReceived,
-                 InboundLinkClosed, PeerConnected, PeerDisconnected,
-                 BackendResponded, BackendExchangeFailed, BackendProbed,
-                 BackendHeartbeat, BackendDeregistered, StoreEra, TableRead,
-                 TableOffset, NodesRead, NodeAnnounced, ChargesRead,
-                 ChargesSaved, StoreFailed, InputUnreadable, RelayTimeReached,
-                 StopRequested, SettingsReloaded>;
+using RelayEventBody = std::variant<
+    RequestArrived, RequestCancelled, LinkReceived, InboundLinkClosed,
+    PeerConnected, PeerDisconnected, BackendResponded, BackendExchangeFailed,
+    BackendProbed, BackendHeartbeat, BackendDeregistered, StoreEra, TableRead,
+    TableOffset, NodesRead, NodeAnnounced, ChargesRead, ChargesSaved,
+    DeparturesRead, DeparturesSaved, StoreFailed, InputUnreadable,
+    RelayTimeReached, StopRequested, SettingsReloaded>;
 
 // An input of the reducer and the time at which it was received.
 struct RelayEvent {
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -348,6 +348,37 @@
   bool stated_leaving_ = false;
 };
 
+// A departure of the local backend server, and the version of the list of
+// departures that first contained it.
+struct KnownDeparture {
+  Departure departure_;
+  std::uint64_t version_ = 0;
+};
+
+// A call of the local backend server that is answered as soon as the store
+// keeps a departure.
+struct UnansweredDeparture {
+  std::uint64_t call_id_ = 0;
+  std::uint64_t version_ = 0;  // of the list that must be kept
+  Timestamp received_at_;
+  Timestamp answer_at_;  // at the latest
+};
+
+// Departures of the local backend server, which also bind later processes of
+// this node.
+struct DepartureLog {
+  std::vector<KnownDeparture> known_;  // oldest first
+  std::uint64_t version_ = 0;          // rises with each addition
+  std::uint64_t kept_version_ = 0;     // that the store keeps
+  std::optional<std::uint64_t> saving_version_;
+  bool read_ = false;  // those of earlier processes have been read
+  // They have been read, or reading has failed once. Until then no heartbeat
+  // makes the backend server ready.
+  bool decided_ = false;
+  std::optional<BackendHeartbeat> held_;  // latest one until then
+  std::vector<UnansweredDeparture> unanswered_;
+};
+
 // Demand for one route that arrives at this node.
 struct DemandMeter {
   double per_second_ = 0.0;           // requests of clients
@@ -399,6 +430,7 @@
   kWaitingSweep,
   kPacedStart,
   kCrashReport,
+  kDepartureAnswer,
   kTick,
   kStore,
 };
@@ -446,6 +478,9 @@
   std::uint64_t runs_refused_suspect_ = 0;  // run orders refused by the host
   std::uint64_t suspicion_notices_sent_ = 0;
   std::uint64_t charge_writes_ = 0;  // of condemned contents, to the store
+  std::uint64_t departures_recorded_ = 0;
+  std::uint64_t departure_writes_ = 0;     // to the store
+  std::uint64_t departures_not_kept_ = 0;  // acknowledged before they were kept
   std::uint64_t late_replies_ = 0;
   std::uint64_t store_calls_ = 0;
   std::uint64_t store_failures_ = 0;
@@ -474,6 +509,7 @@
   WaitingQueue waiting_;
   std::uint32_t running_ = 0;
   LocalBackend backend_;
+  DepartureLog departures_;
   CrashEvidence crash_evidence_;
   ContentWatch content_watch_;
   std::map<std::string, RunStats> run_stats_;
--- /dev/null
+++ b/src/relay/tests/departure_tests.cc
@@ -0,0 +1,243 @@
+#include "relay/tests/relay_harness.h"
+
+namespace jujubefront {
+namespace {
+
+constexpr const char* kInstance = "i-1";
+constexpr std::int64_t kStartedAt = 100;
+constexpr std::int64_t kLeftAt = 5000;  // Unix time of a leave call
+
+BackendDeregistered Leave(std::optional<std::int64_t> started_at_ms) {
+  return {.call_id_ = 1,
+          .instance_ = kInstance,
+          .started_at_ms_ = started_at_ms,
+          .received_at_ms_ = kLeftAt};
+}
+
+BackendHeartbeat Draining(std::uint64_t sequence) {
+  return {.call_id_ = 1,
+          .instance_ = kInstance,
+          .service_ = "svc",
+          .address_ = RelayHarness::DefaultOptions().backend_address_,
+          .started_at_ms_ = kStartedAt,
+          .sequence_ = sequence,
+          .slots_ = 2,
+          .draining_ = true};
+}
+
+Departure Departed(std::uint64_t sequence, bool gone) {
+  return {.left_ = {.instance_ = kInstance,
+                    .started_at_ms_ = kStartedAt,
+                    .sequence_ = sequence,
+                    .gone_ = gone}};
+}
+
+bool RunsRequests(RelayHarness& harness, std::uint64_t request_id) {
+  harness.SendRequest(request_id, "/read/1");
+  return !harness.Take<StartRun>().empty();
+}
+
+class DepartureTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DepartureTests);
+  CPPUNIT_TEST(DeparturesBindLaterProcesses);
+  CPPUNIT_TEST(HeartbeatsWaitUntilDeparturesAreRead);
+  CPPUNIT_TEST(DeparturesThatAreReadLateEndRuns);
+  CPPUNIT_TEST(AcknowledgementsWaitUntilTheStoreKeepsTheDeparture);
+  CPPUNIT_TEST(RecordsAreNotReplacedBeforeTheyAreRead);
+  CPPUNIT_TEST(RestoredStoresGetDeparturesAgain);
+  CPPUNIT_TEST(OneLeavingIsWrittenOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // After a restart of all processes a late heartbeat made a backend server
+  // ready that had left: only their memory had held it.
+  void DeparturesBindLaterProcesses() {
+    struct Row {
+      const char* name_;
+      Departure kept_;
+      std::int64_t started_at_ms_;  // of the heartbeat
+      std::uint64_t sequence_;
+      BackendState state_;
+    };
+    const Row rows[] = {
+        {"gone", Departed(0, true), kStartedAt, 9, BackendState::kGone},
+        {"draining, heartbeat sent before", Departed(7, false), kStartedAt, 6,
+         BackendState::kDraining},
+        {"draining, ready again", Departed(7, false), kStartedAt, 8,
+         BackendState::kReady},
+        {"stated in an answer", Departed(kAnySequence, false), kStartedAt, 9,
+         BackendState::kDraining},
+        {"new incarnation", Departed(0, true), kStartedAt + 1, 1,
+         BackendState::kReady},
+    };
+    for (const Row& row : rows) {
+      RelayHarness harness;
+      harness.LoadTable();
+      harness.Feed(DeparturesRead{.departures_ = {row.kept_}});
+      harness.ReceiveHeartbeat(kInstance, row.started_at_ms_, row.sequence_);
+      CPPUNIT_ASSERT_MESSAGE(row.name_,
+                             harness.state().backend_.state_ == row.state_);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_,
+                                   row.state_ == BackendState::kReady,
+                                   RunsRequests(harness, 1));
+    }
+  }
+
+  // The first heartbeat may come before the answer of the store.
+  void HeartbeatsWaitUntilDeparturesAreRead() {
+    struct Row {
+      const char* name_;
+      bool is_read_;
+      Duration fails_after_;  // otherwise
+      bool runs_;
+    };
+    const Row rows[] = {
+        {"read", true, {}, true},
+        {"the store refuses at once", false, std::chrono::milliseconds(100),
+         false},
+        {"the store is away", false, std::chrono::milliseconds(1500), true},
+    };
+    for (const Row& row : rows) {
+      RelayHarness harness(RelayHarness::DefaultOptions(), false);
+      harness.LoadTable();
+      harness.ReceiveHeartbeat(kInstance, kStartedAt, 3);
+      // A heartbeat that overtook the first one.
+      harness.ReceiveHeartbeat(kInstance, kStartedAt, 2);
+      CPPUNIT_ASSERT_MESSAGE(row.name_, !RunsRequests(harness, 1));
+      harness.RunFor(row.fails_after_);
+      if (row.is_read_) {
+        harness.Feed(DeparturesRead{});
+      } else {
+        harness.Feed(StoreFailed{.call_ = StoreCall::kReadDepartures});
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.runs_,
+                                   RunsRequests(harness, 2));
+      if (!row.runs_) continue;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::uint64_t{3},
+                                   harness.state().backend_.sequence_);
+    }
+  }
+
+  // With the store away at its start, a process believes a heartbeat, and is
+  // corrected as soon as the store is back.
+  void DeparturesThatAreReadLateEndRuns() {
+    for (const bool covers_earlier_starts : {false, true}) {
+      RelayHarness harness(RelayHarness::DefaultOptions(), false);
+      harness.LoadTable();
+      harness.RunFor(std::chrono::milliseconds(1500));
+      harness.Feed(StoreFailed{.call_ = StoreCall::kReadDepartures});
+      harness.ReceiveHeartbeat(kInstance, kStartedAt, 3);
+      CPPUNIT_ASSERT(RunsRequests(harness, 1));
+      harness.Take<ReadDepartures>();
+      harness.RunFor(std::chrono::milliseconds(500));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           harness.Take<ReadDepartures>().size());
+      Departure kept = Departed(0, true);
+      if (covers_earlier_starts) {
+        kept.left_.started_at_ms_ = kLeftAt;
+        kept.covers_earlier_starts_ = true;
+      }
+      harness.Feed(DeparturesRead{.departures_ = {kept}});
+      CPPUNIT_ASSERT(!RunsRequests(harness, 2));
+    }
+  }
+
+  // A process that is killed right after its acknowledgement must have had the
+  // departure kept; a store that is away must not keep anybody from leaving.
+  void AcknowledgementsWaitUntilTheStoreKeepsTheDeparture() {
+    struct Row {
+      const char* name_;
+      RelayEventBody call_;
+      std::int64_t answered_after_ms_;
+      bool store_answers_;
+    };
+    const Row rows[] = {
+        {"leave call", Leave(kStartedAt), 5, true},
+        {"draining heartbeat", Draining(4), 5, true},
+        {"leave call, store away", Leave(kStartedAt), 500, false},
+        {"draining heartbeat, store away", Draining(4), 500, false},
+    };
+    for (const Row& row : rows) {
+      RelayHarness harness;
+      harness.LoadTable();
+      harness.ReceiveHeartbeat(kInstance, kStartedAt, 3);
+      harness.Feed(row.call_);
+      CPPUNIT_ASSERT_MESSAGE(row.name_, !RunsRequests(harness, 1));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::size_t{1},
+                                   harness.Take<SaveDepartures>().size());
+      harness.RunFor(std::chrono::milliseconds(row.answered_after_ms_ - 10));
+      CPPUNIT_ASSERT_MESSAGE(row.name_, harness.Take<AnswerBackend>().empty());
+      if (row.store_answers_) {
+        harness.Feed(DeparturesSaved{});
+      } else {
+        harness.RunFor(std::chrono::milliseconds(10));
+      }
+      const auto answers = harness.Take<AnswerBackend>();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::size_t{1}, answers.size());
+      CPPUNIT_ASSERT_MESSAGE(row.name_, answers[0].accepted_);
+      // The save is repeated until the store keeps it.
+      if (row.store_answers_) continue;
+      harness.Feed(StoreFailed{.call_ = StoreCall::kSaveDepartures});
+      harness.RunFor(std::chrono::milliseconds(500));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::size_t{1},
+                                   harness.Take<SaveDepartures>().size());
+    }
+  }
+
+  // A save replaces the record of earlier processes.
+  void RecordsAreNotReplacedBeforeTheyAreRead() {
+    RelayHarness harness(RelayHarness::DefaultOptions(), false);
+    harness.Feed(Draining(4));
+    CPPUNIT_ASSERT(harness.Take<SaveDepartures>().empty());
+    Departure earlier = Departed(0, true);
+    earlier.left_.instance_ = "i-0";
+    harness.Feed(DeparturesRead{.departures_ = {earlier}});
+    const auto saves = harness.Take<SaveDepartures>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, saves.size());
+    CPPUNIT_ASSERT(saves[0].departures_ ==
+                   std::vector({earlier, Departed(4, false)}));
+  }
+
+  // The store comes back from a copy without the record.
+  void RestoredStoresGetDeparturesAgain() {
+    RelayHarness harness;
+    harness.Feed(StoreEra{1});
+    harness.Feed(Draining(4));
+    harness.Feed(DeparturesSaved{});
+    harness.Take<SaveDepartures>();
+    harness.Feed(StoreEra{2});
+    harness.RunFor(std::chrono::milliseconds(1100));
+    const auto saves = harness.Take<SaveDepartures>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, saves.size());
+    CPPUNIT_ASSERT(saves[0].departures_ == std::vector({Departed(4, false)}));
+  }
+
+  // Calls to the store are priced: a backend server that drains and then leaves
+  // costs one write, and its further calls are answered at once.
+  void OneLeavingIsWrittenOnce() {
+    RelayHarness harness;
+    harness.ReceiveHeartbeat(kInstance, kStartedAt, 3);
+    harness.Feed(Draining(4));
+    harness.Feed(DeparturesSaved{});
+    harness.Take<AnswerBackend>();
+    for (const RelayEventBody& call :
+         {RelayEventBody(Draining(5)), RelayEventBody(Leave(kStartedAt))}) {
+      harness.Feed(call);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           harness.Take<AnswerBackend>().size());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.Take<SaveDepartures>().size());
+    // One that was ready in between leaves anew.
+    harness.ReceiveHeartbeat("i-2", kStartedAt + 1, 1, true);
+    harness.Feed(DeparturesSaved{});
+    harness.ReceiveHeartbeat("i-2", kStartedAt + 1, 2, false);
+    harness.Take<SaveDepartures>();
+    harness.ReceiveHeartbeat("i-2", kStartedAt + 1, 3, true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.Take<SaveDepartures>().size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DepartureTests);
+
+}  // namespace
+}  // namespace jujubefront
--- a/src/relay/tests/relay_harness.h
+++ b/src/relay/tests/relay_harness.h
@@ -15,9 +15,13 @@
 // Drives one relay in virtual time and collects the effects that it requests.
 class RelayHarness {
  public:
-  explicit RelayHarness(RelayOptions options = DefaultOptions())
+  // The store's answer with the departures of earlier processes is left to the
+  // test unless `reads_departures`.
+  explicit RelayHarness(RelayOptions options = DefaultOptions(),
+                        bool reads_departures = true)
       : options_(std::move(options)) {
     state_ = MakeRelay(options_, now_, effects_);
+    if (reads_departures) Feed(DeparturesRead{});
   }
 
   static RelayOptions DefaultOptions() {
--- a/src/relaymodel/fleet_simulator.cc
+++ b/src/relaymodel/fleet_simulator.cc
@@ -404,6 +404,23 @@
     ++simulator_.charge_writes_;
     FeedLater(kStoreLatency, ChargesSaved{});
   }
+  void operator()(ReadDepartures&) const {
+    ++simulator_.store_calls_;
+    if (LosesCall(StoreCall::kReadDepartures)) return;
+    const auto& saved = simulator_.saved_departures_;
+    const auto found = saved.find(index_);
+    FeedLater(kStoreLatency,
+              DeparturesRead{.departures_ = found == saved.end()
+                                                ? std::vector<Departure>()
+                                                : found->second});
+  }
+  void operator()(SaveDepartures& effect) const {
+    ++simulator_.store_calls_;
+    if (LosesCall(StoreCall::kSaveDepartures)) return;
+    simulator_.saved_departures_[index_] = std::move(effect.departures_);
+    FeedLater(kStoreLatency, DeparturesSaved{});
+  }
+  void operator()(AnswerBackend&) const {}
   void operator()(ApplyClientLimits&) const {}
   void operator()(SetReady&) const {}
   void operator()(CloseClients&) const {}
--- a/src/relaymodel/fleet_simulator.h
+++ b/src/relaymodel/fleet_simulator.h
@@ -211,6 +211,8 @@
   };
   std::map<Fingerprint, SavedCharges> saved_charges_;
   std::uint64_t charge_writes_ = 0;
+  // Departures that the store keeps, by host.
+  std::map<std::size_t, std::vector<Departure>> saved_departures_;
   std::set<std::string> arrived_trace_ids_;  // trace ids
   double rate_limit_use_ = 0.0;
   std::function<void(const std::string&, Duration)> on_run_end_ =
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -75,6 +75,14 @@
       return "backend_changed";
     case DecisionKind::kBackendEnded:
       return "backend_ended";
+    case DecisionKind::kDepartureRecorded:
+      return "departure_recorded";
+    case DecisionKind::kDepartureKept:
+      return "departure_kept";
+    case DecisionKind::kDepartureNotKept:
+      return "departure_not_kept";
+    case DecisionKind::kDeparturesRead:
+      return "departures_read";
     case DecisionKind::kRateLimitChanged:
       return "rate_limit_changed";
     case DecisionKind::kContentCharged:
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -83,6 +83,9 @@
   Counter(text, "runs_refused_suspect", counters.runs_refused_suspect_);
   Counter(text, "suspicion_notices_sent", counters.suspicion_notices_sent_);
   Counter(text, "charge_writes", counters.charge_writes_);
+  Counter(text, "departures_recorded", counters.departures_recorded_);
+  Counter(text, "departure_writes", counters.departure_writes_);
+  Counter(text, "departures_not_kept", counters.departures_not_kept_);
   Counter(text, "late_replies", counters.late_replies_);
   Counter(text, "store_calls", counters.store_calls_);
   Counter(text, "store_failures", counters.store_failures_);
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -86,6 +86,13 @@
   void operator()(SaveCharges& effect) const {
     shell_.store_.save_charges_(effect);
   }
+  void operator()(ReadDepartures&) const { shell_.store_.read_departures_(); }
+  void operator()(SaveDepartures& effect) const {
+    shell_.store_.save_departures_(effect);
+  }
+  void operator()(AnswerBackend& effect) const {
+    shell_.answer_backend_(effect);
+  }
   void operator()(ApplyClientLimits& effect) const {
     shell_.clients_.SetOptions(shell_.ServerOptions(effect.limits_));
   }
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -74,6 +74,9 @@
   std::function<void()> read_charges_;  // reads all that save_charges_ has kept
   // Replaces the charges that the store keeps for a content; none: removes it.
   std::function<void(const SaveCharges&)> save_charges_;
+  // Reads what save_departures_ has kept for this node.
+  std::function<void()> read_departures_;
+  std::function<void(const SaveDepartures&)> save_departures_;
 };
 
 // Addresses and limits of one relay process.
@@ -102,6 +105,10 @@
   ~RelayShell() override;
 
   void SetStore(StoreInterface store) { store_ = std::move(store); }
+  // Sets the handler that answers the calls of the local backend server.
+  void SetBackendAnswers(std::function<void(const AnswerBackend&)> answer) {
+    answer_backend_ = std::move(answer);
+  }
 
   // Binds the addresses and starts the reducer. Returns the address that
   // could not be bound, or nullopt on success.
@@ -134,6 +141,7 @@
   PlatformProtocol protocol_;
   std::function<void(int)> on_exit_;
   StoreInterface store_;
+  std::function<void(const AnswerBackend&)> answer_backend_;
   RelayState state_;
   QTimer wake_timer_;
   std::optional<Timestamp> wake_at_;
--- a/standins/platform/backend_standin.cc
+++ b/standins/platform/backend_standin.cc
@@ -73,8 +73,18 @@
   });
 }
 
-void BackendStandin::SendHeartbeat() {
-  if (!server_) return;
+Http1Request BackendStandin::MakeCall(const std::string& call,
+                                      const QJsonObject& body) const {
+  return {
+      .method_ = "POST",
+      .target_ = "/jujubefront/rpc?call=" + call + "&of=" + options_.instance_,
+      .headers_ = {{"Host", options_.control_address_},
+                   {"Content-Type", "application/json"}},
+      .body_ =
+          QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString()};
+}
+
+Http1Request BackendStandin::MakeHeartbeat() {
   const std::string& address = options_.heartbeat_address_.empty()
                                    ? options_.address_
                                    : options_.heartbeat_address_;
@@ -88,15 +98,18 @@
                          {"born", static_cast<qint64>(started_at_ms_)},
                          {"seq", static_cast<qint64>(++sequence_)}};
   if (draining_ && drain_sequence_ == 0) drain_sequence_ = sequence_;
-  control_.Send(
-      sequence_,
-      {.method_ = "POST",
-       .target_ =
-           "/jujubefront/rpc?call=instances.heartbeat&of=" + options_.instance_,
-       .headers_ = {{"Host", options_.control_address_},
-                    {"Content-Type", "application/json"}},
-       .body_ =
-           QJsonDocument(beat).toJson(QJsonDocument::Compact).toStdString()});
+  return MakeCall("instances.heartbeat", beat);
+}
+
+Http1Request BackendStandin::MakeLeave() const {
+  return MakeCall("instances.leave",
+                  {{"born", static_cast<qint64>(started_at_ms_)}});
+}
+
+void BackendStandin::SendHeartbeat() {
+  if (!server_) return;
+  const Http1Request heartbeat = MakeHeartbeat();
+  control_.Send(sequence_, heartbeat);
 }
 
 void BackendStandin::Drain() {
--- a/standins/platform/backend_standin.h
+++ b/standins/platform/backend_standin.h
@@ -1,6 +1,7 @@
 #ifndef JUJUBEFRONT_STANDINS_PLATFORM_BACKEND_STANDIN_H_
 #define JUJUBEFRONT_STANDINS_PLATFORM_BACKEND_STANDIN_H_
 
+#include <QJsonObject>
 #include <QObject>
 #include <QTimer>
 #include <functional>
@@ -46,6 +47,10 @@
   }
   const std::string& instance() const { return options_.instance_; }
   void SendHeartbeat();
+  void StopHeartbeats() { heartbeat_.stop(); }
+  // The next heartbeat, and the call by which it leaves, for a test to send.
+  Http1Request MakeHeartbeat();
+  Http1Request MakeLeave() const;
   void Drain();
   void SetWork(Duration work) { options_.work_ = work; }
   // Sets the size of the answers' bodies, beside the request's id.
@@ -81,6 +86,7 @@
   bool drain_acknowledged() const { return drain_acknowledged_; }
 
  private:
+  Http1Request MakeCall(const std::string& call, const QJsonObject& body) const;
   void OnRequest(std::uint64_t id, const Http1Request& request);
   // Adds what the answer states about this instance.
   void AddStatements(HeaderList& headers);
--- a/standins/platform/path_tests.cc
+++ b/standins/platform/path_tests.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST_SUITE(PathTests);
   CPPUNIT_TEST(ServesAndDrainsAndStops);
   CPPUNIT_TEST(PlannedStopsDeliverAnswersThatClientsReadSlowly);
+  CPPUNIT_TEST(LeavingOutlivesRestarts);
   CPPUNIT_TEST(ReportsFailuresOfBackendServers);
   CPPUNIT_TEST(AppliesDocumentsDespiteStoreOutages);
   CPPUNIT_TEST(SurvivesKilledAndPausedPeers);
@@ -273,6 +274,65 @@
     }));
   }
 
+  // An acknowledged leaving binds all processes that start later: a heartbeat
+  // that was sent before, and arrives late, must not bring requests back.
+  void LeavingOutlivesRestarts() {
+    struct Row {
+      const char* name_;
+      bool reports_draining_;  // by a heartbeat, in place of the leave call
+      std::size_t restarted_;  // number of hosts
+      bool restarted_first_;   // before it leaves
+    };
+    const Row rows[] = {
+        {"all restart after a leave call", false, 2, false},
+        {"all restart after it reported draining", true, 2, false},
+    };
+    for (const Row& row : rows) {
+      Deployment deployment;
+      BackendStandin& backend = *deployment.host(0).backend_;
+      backend.StopHeartbeats();
+      const Http1Request late = backend.MakeHeartbeat();
+      if (row.restarted_first_) Restart(deployment, row.restarted_);
+      if (row.reports_draining_) {
+        backend.Drain();
+        CPPUNIT_ASSERT_MESSAGE(
+            row.name_, WaitUntil(std::chrono::seconds(2),
+                                 [&] { return backend.drain_acknowledged(); }));
+      } else {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            row.name_, 200,
+            Fetch(deployment.host(0).control(), backend.MakeLeave()).status_);
+      }
+      if (!row.restarted_first_) Restart(deployment, row.restarted_);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          row.name_, 200, Fetch(deployment.host(0).control(), late).status_);
+      const std::size_t runs = backend.runs().size();
+      for (int i = 0; i < 20; ++i) {
+        const Http1Request request = Client("l" + std::to_string(i), "/read/1");
+        Fetch(deployment.host(i % 2).clients(), request);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, runs, backend.runs().size());
+    }
+  }
+
+  // Kills the relays of the first hosts and starts them again.
+  static void Restart(Deployment& deployment, std::size_t hosts) {
+    for (std::size_t i = 0; i < hosts; ++i) {
+      deployment.host(i).process_->kill();
+    }
+    for (std::size_t i = 0; i < hosts; ++i) {
+      deployment.host(i).process_->waitForFinished();
+      deployment.hosts_.StartProcess(deployment.host(i));
+    }
+    for (std::size_t i = 0; i < hosts; ++i) {
+      CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(10), [&] {
+        return Fetch(deployment.host(i).ready(),
+                     {.method_ = "GET", .target_ = "/jujubefront/readyz"})
+                   .status_ == 200;
+      }));
+    }
+  }
+
   void ReportsFailuresOfBackendServers() {
     struct Row {
       const char* name_;
