Leave calls bind incarnations that the process does not know

Cause: OnBackendDeregistered dropped a call of another instance than the known one, and a new process knows none; the endpoint answered 200 in any case. The next late heartbeat made the backend server ready for the whole fleet.

Now a leave call is recorded by its instance and start, known or not, and answered like one of a known instance. The start is read from the call's body; so a late call of an earlier incarnation under the same id does not take out the new one. A call that names no start is one of the known incarnation of that id, or else covers the starts up to its arrival.

--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -174,13 +174,17 @@
 void OnBackendDeregistered(RelayStep& step,
                            const BackendDeregistered& deregistered) {
   const LocalBackend& backend = step.state_.backend_;
-  if (deregistered.instance_ != backend.instance_) {
-    return AnswerCall(step, deregistered.call_id_, true);
-  }
-  RecordDeparture(step, {.left_ = {.instance_ = backend.instance_,
-                                   .started_at_ms_ = backend.started_at_ms_,
-                                   .gone_ = true}});
-  if (backend.state_ != BackendState::kGone) {
+  const bool is_known = deregistered.instance_ == backend.instance_;
+  // A call that names no start is taken for one of the known incarnation.
+  auto started_at_ms = deregistered.started_at_ms_;
+  if (!started_at_ms && is_known) started_at_ms = backend.started_at_ms_;
+  RecordDeparture(step, {.left_ = {.instance_ = deregistered.instance_,
+                                   .started_at_ms_ = started_at_ms.value_or(
+                                       deregistered.received_at_ms_),
+                                   .gone_ = true},
+                         .covers_earlier_starts_ = !started_at_ms});
+  if (is_known && started_at_ms == backend.started_at_ms_ &&
+      backend.state_ != BackendState::kGone) {
     ChangeState(step, BackendState::kGone, "it said that it leaves");
     RefuseWaiting(step, NotRunReason::kDraining);
   }
--- a/src/relay/tests/departure_tests.cc
+++ b/src/relay/tests/departure_tests.cc
@@ -39,6 +39,8 @@
 
 class DepartureTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DepartureTests);
+  CPPUNIT_TEST(LeavingOfAnUnknownIncarnationBinds);
+  CPPUNIT_TEST(LeavingOfAnEarlierIncarnationSparesTheCurrentOne);
   CPPUNIT_TEST(DeparturesBindLaterProcesses);
   CPPUNIT_TEST(HeartbeatsWaitUntilDeparturesAreRead);
   CPPUNIT_TEST(DeparturesThatAreReadLateEndRuns);
@@ -46,9 +48,63 @@
   CPPUNIT_TEST(RecordsAreNotReplacedBeforeTheyAreRead);
   CPPUNIT_TEST(RestoredStoresGetDeparturesAgain);
   CPPUNIT_TEST(OneLeavingIsWrittenOnce);
+  CPPUNIT_TEST(RememberedDeparturesAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // A process that has just started acknowledged that its backend server left,
+  // and forgot it, as it knew no incarnation. A heartbeat that had been sent
+  // before then made the backend server ready again.
+  void LeavingOfAnUnknownIncarnationBinds() {
+    struct Row {
+      const char* name_;
+      std::optional<std::int64_t> leave_of_;
+      const char* heartbeat_of_;
+      std::int64_t started_at_ms_;
+      bool runs_;
+    };
+    const Row rows[] = {
+        {"late heartbeat", kStartedAt, kInstance, kStartedAt, false},
+        {"late heartbeat, no start named", std::nullopt, kInstance, kStartedAt,
+         false},
+        {"new incarnation of the instance", kStartedAt, kInstance,
+         kStartedAt + 1, true},
+        {"new incarnation, no start named", std::nullopt, kInstance,
+         kLeftAt + 1, true},
+        {"earlier start after a clock step", kStartedAt, "i-2", kStartedAt - 50,
+         true},
+        {"another instance, no start named", std::nullopt, "i-2", kStartedAt,
+         true},
+    };
+    for (const Row& row : rows) {
+      RelayHarness harness;
+      harness.LoadTable();
+      harness.Feed(Leave(row.leave_of_));
+      harness.ReceiveHeartbeat(row.heartbeat_of_, row.started_at_ms_, 5);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.runs_,
+                                   RunsRequests(harness, 1));
+      // A second one, as if the first had proved that it lives.
+      harness.RunFor(std::chrono::milliseconds(1500));
+      harness.ReceiveHeartbeat(row.heartbeat_of_, row.started_at_ms_, 6);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.runs_,
+                                   RunsRequests(harness, 2));
+    }
+  }
+
+  // The instance may start again under its id before the leave call of its
+  // earlier incarnation arrives.
+  void LeavingOfAnEarlierIncarnationSparesTheCurrentOne() {
+    RelayHarness harness;
+    harness.LoadTable();
+    harness.ReceiveHeartbeat(kInstance, kStartedAt, 1);
+    harness.Feed(Leave(kStartedAt - 1));
+    CPPUNIT_ASSERT(RunsRequests(harness, 1));
+    harness.ReceiveHeartbeat(kInstance, kStartedAt, 2);
+    CPPUNIT_ASSERT(RunsRequests(harness, 2));
+    harness.Feed(Leave(kStartedAt));
+    CPPUNIT_ASSERT(!RunsRequests(harness, 3));
+  }
+
   // After a restart of all processes a late heartbeat made a backend server
   // ready that had left: only their memory had held it.
   void DeparturesBindLaterProcesses() {
@@ -235,6 +291,24 @@
     harness.ReceiveHeartbeat("i-2", kStartedAt + 1, 3, true);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.Take<SaveDepartures>().size());
   }
+
+  // Leave calls with other ids do not displace that of the current incarnation.
+  void RememberedDeparturesAreBounded() {
+    RelayHarness harness;
+    harness.LoadTable();
+    harness.ReceiveHeartbeat(kInstance, kStartedAt, 3);
+    harness.Feed(Leave(kStartedAt));
+    for (int i = 0; i < 100; ++i) {
+      harness.Feed(BackendDeregistered{.instance_ = "x" + std::to_string(i),
+                                       .started_at_ms_ = 1});
+      harness.Feed(DeparturesSaved{});
+    }
+    const auto saves = harness.Take<SaveDepartures>();
+    const auto& kept = saves.back().departures_;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, kept.size());
+    CPPUNIT_ASSERT(kept.front() == Departed(0, true));
+    CPPUNIT_ASSERT_EQUAL(std::string("x99"), kept.back().left_.instance_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DepartureTests);
--- a/standins/platform/path_tests.cc
+++ b/standins/platform/path_tests.cc
@@ -286,6 +286,7 @@
     const Row rows[] = {
         {"all restart after a leave call", false, 2, false},
         {"all restart after it reported draining", true, 2, false},
+        {"it leaves right after a restart", false, 1, true},
     };
     for (const Row& row : rows) {
       Deployment deployment;
