Heartbeats of another address are not acknowledged

A heartbeat that names another address than the local backend server's was answered 200 and dropped: its sender, if it drained, would count on an acknowledgement that has no effect.

It is answered 400 now, counted and logged as unreadable input. Test: HeartbeatsOfOtherAddressesAreRejected, which failed before (200).

--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -139,7 +139,13 @@
 
 void OnBackendHeartbeat(RelayStep& step, const BackendHeartbeat& heartbeat) {
   if (heartbeat.address_ != step.options_.backend_address_) {
-    return AnswerCall(step, heartbeat.call_id_, true);
+    ++step.state_.counters_.inputs_unreadable_;
+    step.effects_.emplace_back(
+        Decision{.kind_ = DecisionKind::kInputUnreadable,
+                 .trace_id_ = {},
+                 .inputs_ = {{"source", "heartbeat of another address"},
+                             {"from", heartbeat.address_}}});
+    return AnswerCall(step, heartbeat.call_id_, false);
   }
   if (heartbeat.draining_) {
     RecordDeparture(step, {.left_ = {.instance_ = heartbeat.instance_,
--- a/src/relay/tests/departure_tests.cc
+++ b/src/relay/tests/departure_tests.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(RestoredStoresGetDeparturesAgain);
   CPPUNIT_TEST(OneLeavingIsWrittenOnce);
   CPPUNIT_TEST(RememberedDeparturesAreBounded);
+  CPPUNIT_TEST(HeartbeatsOfOtherAddressesAreRejected);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -309,6 +310,17 @@
     CPPUNIT_ASSERT(kept.front() == Departed(0, true));
     CPPUNIT_ASSERT_EQUAL(std::string("x99"), kept.back().left_.instance_);
   }
+
+  // Such a heartbeat has no effect, so that it must not be acknowledged.
+  void HeartbeatsOfOtherAddressesAreRejected() {
+    RelayHarness harness;
+    BackendHeartbeat heartbeat = Draining(1);
+    heartbeat.address_ = "10.0.0.9:8000";
+    harness.Feed(heartbeat);
+    const auto answers = harness.Take<AnswerBackend>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answers.size());
+    CPPUNIT_ASSERT(!answers[0].accepted_);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DepartureTests);
