Links: messages that HTTP cannot write are malformed

The link codec now refuses such messages, as it does others that it cannot decode; the link ends. That is also counted and logged (input_unreadable, "message of a peer"); it was silent before.

MessagesThatHttpCannotWriteAreMalformed failed before (status 1000 decoded).

--- a/fuzz/fuzz_http1.cc
+++ b/fuzz/fuzz_http1.cc
@@ -1,7 +1,9 @@
 // Fuzzes the HTTP/1.1 request and response readers with input that arrives in
 // pieces, and with input whose end is repeated as by a sender that never stops.
 // The first byte of the input is the piece size minus one, the second the
-// number of bytes at its end that are repeated; 0: none are.
+// number of bytes at its end that are repeated; 0: none are. So many bytes are
+// also repeated in the middle, at an offset of the piece size, in input that
+// arrives at once.
 
 #include <cstdlib>
 
@@ -58,6 +60,21 @@
   std::abort();
 }
 
+// More than the length of any field that Beast can hold.
+constexpr std::size_t kLongBytes = 72 * 1024;
+
+// Checks that a reader returns from a message of which a part is very long.
+template <typename Reader>
+void CheckLong(Reader reader, std::string_view bytes, std::size_t offset,
+               std::size_t repeated) {
+  if (repeated == 0 || offset >= bytes.size()) return;
+  const std::string_view part = bytes.substr(offset, repeated);
+  std::string text(bytes.substr(0, offset));
+  while (text.size() < kLongBytes) text += part;
+  text += bytes.substr(offset);
+  if (reader.Read(text).consumed_ > text.size()) std::abort();
+}
+
 void CheckRequest(std::string_view bytes, std::size_t piece) {
   Http1RequestReader reader(kLimits);
   if (!ReadPieces(reader, bytes, piece)) return;
@@ -101,5 +118,10 @@
   jujubefront::CheckEndless(
       jujubefront::Http1ResponseReader(jujubefront::kLimits, false), bytes,
       repeated);
+  jujubefront::CheckLong(jujubefront::Http1RequestReader(jujubefront::kLimits),
+                         bytes, piece, repeated);
+  jujubefront::CheckLong(
+      jujubefront::Http1ResponseReader(jujubefront::kLimits, false), bytes,
+      piece, repeated);
   return 0;
 }
--- a/src/http1/http1_codec.cc
+++ b/src/http1/http1_codec.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <limits>
 #include <optional>
 #include <set>
 
@@ -134,6 +135,19 @@
   return text;
 }
 
+// Beast throws std::length_error for a longer name or value of a field.
+constexpr std::size_t kMaxFieldBytes =
+    std::numeric_limits<std::uint16_t>::max() - 2;
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 999;
+
+bool AreWritable(const HeaderList& headers) {
+  return std::all_of(headers.begin(), headers.end(), [](const auto& header) {
+    return header.first.size() <= kMaxFieldBytes &&
+           header.second.size() <= kMaxFieldBytes;
+  });
+}
+
 bool ResponseHasNoBody(int status) {
   return status < 200 || status == 204 || status == 304;
 }
@@ -332,6 +346,15 @@
   return Serialize(message, response.body_, !no_body && !answers_head);
 }
 
+bool IsWritable(const Http1Request& request) {
+  return !request.method_.empty() && AreWritable(request.headers_);
+}
+
+bool IsWritable(const Http1Response& response) {
+  return response.status_ >= kMinStatus && response.status_ <= kMaxStatus &&
+         AreWritable(response.headers_);
+}
+
 void RemoveConnectionHeaders(HeaderList& headers) {
   static const std::array<std::string_view, 9> kConnectionHeaders = {
       "connection", "keep-alive", "proxy-connection",
--- a/src/http1/http1_codec.h
+++ b/src/http1/http1_codec.h
@@ -68,6 +68,10 @@
 std::string WriteRequest(const Http1Request& request);
 std::string WriteResponse(const Http1Response& response, bool answers_head);
 
+// Whether the message can be written. One that a reader has returned can.
+bool IsWritable(const Http1Request& request);
+bool IsWritable(const Http1Response& response);
+
 // Removes the hop-by-hop headers (RFC 9110, 7.6.1) and Content-Length, which is
 // set again when the message is serialized.
 void RemoveConnectionHeaders(HeaderList& headers);
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -9,6 +9,8 @@
 #include <cmath>
 #include <cstring>
 
+#include "http1/http1_codec.h"
+
 namespace jujubefront {
 namespace {
 
@@ -551,6 +553,16 @@
   return capnp::expectedSizeInWordsFromPrefix(words) * sizeof(capnp::word);
 }
 
+// Whether the HTTP message that it contains, if any, can be passed on.
+bool IsUsable(const LinkMessage& message) {
+  if (const auto* order = std::get_if<RunOrder>(&message)) {
+    return IsWritable(order->request_);
+  }
+  const auto* reply = std::get_if<RunReply>(&message);
+  return reply == nullptr || reply->outcome_ != RunOutcome::kAnswered ||
+         IsWritable(reply->response_);
+}
+
 }  // namespace
 
 std::string EncodeLinkMessage(const LinkMessage& message) {
@@ -586,7 +598,9 @@
   } catch (const kj::Exception&) {
     decoded.malformed_ = true;
   }
-  if (!decoded.message_) decoded.malformed_ = true;
+  if (!decoded.message_ || !IsUsable(*decoded.message_)) {
+    decoded.malformed_ = true;
+  }
   return decoded;
 }
 
--- a/src/relaylink/peer_links.cc
+++ b/src/relaylink/peer_links.cc
@@ -49,6 +49,7 @@
     if (decoded.malformed_) {
       found->second->Close();
       inbound_.erase(found);
+      handlers_.on_unreadable_({});
       return handlers_.on_inbound_end_(connection_id);
     }
     if (decoded.consumed_ == 0) return;
@@ -83,7 +84,10 @@
   for (auto found = outbound_.find(peer); found != outbound_.end();
        found = outbound_.find(peer)) {
     LinkDecodeResult decoded = DecodeLinkMessage(found->second->inbox());
-    if (decoded.malformed_) return OnOutboundEnd(peer);
+    if (decoded.malformed_) {
+      handlers_.on_unreadable_(peer);
+      return OnOutboundEnd(peer);
+    }
     if (decoded.consumed_ == 0) return;
     found->second->Consume(decoded.consumed_);
     handlers_.on_outbound_(peer, std::move(*decoded.message_));
--- a/src/relaylink/peer_links.h
+++ b/src/relaylink/peer_links.h
@@ -26,6 +26,9 @@
         on_outbound_;
     std::function<void(const std::string& peer)> on_connected_;
     std::function<void(const std::string& peer)> on_disconnected_;
+    // A message cannot be decoded; its connection ends. `peer` is empty for an
+    // inbound connection.
+    std::function<void(const std::string& peer)> on_unreadable_;
   };
 
   PeerLinks(SilenceOptions silence, Handlers handlers);
--- a/src/relaylink/tests/relaylink_tests.cc
+++ b/src/relaylink/tests/relaylink_tests.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include "http1/http1_codec.h"
 #include "relaylink/link_codec.h"
 
 namespace jujubefront {
@@ -81,6 +82,7 @@
   CPPUNIT_TEST(KeepsEveryMessage);
   CPPUNIT_TEST(WaitsForWholeMessages);
   CPPUNIT_TEST(SurvivesAnyBytes);
+  CPPUNIT_TEST(MessagesThatHttpCannotWriteAreMalformed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -119,6 +121,53 @@
       DecodeLinkMessage(bytes);
     }));
   }
+
+  // The HTTP library throws when it writes such a message, which would end the
+  // process that received it from a peer.
+  void MessagesThatHttpCannotWriteAreMalformed() {
+    const std::string long_field(70'000, 'x');
+    struct Row {
+      const char* name_;
+      LinkMessage message_;
+      bool malformed_;
+    };
+    const auto reply = [](RunOutcome outcome, int status, HeaderList headers) {
+      RunReply reply{.outcome_ = outcome};
+      reply.response_ = {.status_ = status, .headers_ = std::move(headers)};
+      return reply;
+    };
+    const auto order = [](std::string method, HeaderList headers) {
+      RunOrder order;
+      order.request_ = {.method_ = std::move(method),
+                        .target_ = "/",
+                        .headers_ = std::move(headers)};
+      return order;
+    };
+    const Row rows[] = {
+        {"reply", reply(RunOutcome::kAnswered, 200, {{"A", "b"}}), false},
+        {"status too large", reply(RunOutcome::kAnswered, 1000, {}), true},
+        {"status too small", reply(RunOutcome::kAnswered, 99, {}), true},
+        {"no response", reply(RunOutcome::kNotRun, 0, {}), false},
+        {"value of a field too long",
+         reply(RunOutcome::kAnswered, 200, {{"A", long_field}}), true},
+        {"name of a field too long",
+         reply(RunOutcome::kAnswered, 200, {{long_field, "b"}}), true},
+        {"order", order("GET", {{"A", "b"}}), false},
+        {"no method", order("", {}), true},
+        {"field of an order too long", order("GET", {{"A", long_field}}), true},
+    };
+    for (const Row& row : rows) {
+      const LinkDecodeResult decoded =
+          DecodeLinkMessage(EncodeLinkMessage(row.message_));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.malformed_,
+                                   decoded.malformed_);
+      // What is decoded can be written.
+      if (row.malformed_) continue;
+      if (const auto* found = std::get_if<RunOrder>(&row.message_)) {
+        CPPUNIT_ASSERT(!WriteRequest(found->request_).empty());
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelaylinkTests);
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -244,7 +244,12 @@
       .on_connected_ =
           [this](const std::string& peer) { Feed(PeerConnected{peer}); },
       .on_disconnected_ =
-          [this](const std::string& peer) { Feed(PeerDisconnected{peer}); }};
+          [this](const std::string& peer) { Feed(PeerDisconnected{peer}); },
+      .on_unreadable_ =
+          [this](const std::string& peer) {
+            Feed(InputUnreadable{.source_ = "message of a peer",
+                                 .detail_ = peer});
+          }};
 }
 
 void RelayShell::FeedTable(const std::string& peer, const TableText& text) {
