Links: large messages are sent in fragments that others pass

Cause: PeerLinks ended a connection as soon as more than 8 MB were unsent on it, whatever the message, and one body that is allowed is larger than that.

Now a message of more than 64 KiB is queued and sent in fragments of that size, the next one when the connection has no unsent bytes; the kernel takes 128 KiB unsent at most (TCP_NOTSENT_LOWAT). Other messages go between the fragments, so they wait for at most some 200 KiB. A cancellation drops its order if that has not been sent whole. The bound of 8 MB holds for small messages still.

A process of before this commit closes a link on which a fragment comes; such links ended before, too, unless the body had less than 8 MB. Roll out before large bodies are sent, or expect 502 for those.

Tests: large_message_tests.

--- a/src/netio/tcp_connection.cc
+++ b/src/netio/tcp_connection.cc
@@ -179,6 +179,12 @@
   Watch(reading_, true);
 }
 
+void TcpConnection::LimitUnsentInKernel(std::size_t bytes) {
+  const auto limit = static_cast<int>(bytes);
+  setsockopt(descriptor_, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &limit,
+             sizeof(limit));
+}
+
 void TcpConnection::Flush() {
   while (unsent_bytes() > 0) {
     const ssize_t count = ::send(descriptor_, outbox_.data() + outbox_start_,
--- a/src/netio/tcp_connection.h
+++ b/src/netio/tcp_connection.h
@@ -64,6 +64,10 @@
   // Stops and resumes reading, to bound the inbox.
   void SetReading(bool reading);
 
+  // Limits the unsent bytes that the kernel takes from this connection
+  // (TCP_NOTSENT_LOWAT).
+  void LimitUnsentInKernel(std::size_t bytes);
+
   // Closes the sending direction (FIN); data from the peer is still received.
   // Call it only when there are no unsent bytes.
   void FinishWriting();
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -21,9 +21,18 @@
     backendLeft @11 :BackendLeft;
     suspicion @12 :Suspicion;
     quotaUse @13 :QuotaUse;
+    fragment @14 :Fragment;
   }
 }
 
+# Part of the encoding of a large message. Other messages may come between the
+# parts of one, but no parts of another.
+struct Fragment {
+  data @0 :Data;
+  last @1 :Bool;
+  aborted @2 :Bool;  # the sender gives the message up
+}
+
 struct Header {
   name @0 :Text;
   value @1 :Text;
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -542,6 +542,8 @@
       return Read(message.getSuspicion());
     case linkwire::Message::QUOTA_USE:
       return Read(message.getQuotaUse());
+    case linkwire::Message::FRAGMENT:
+      break;
   }
   return std::nullopt;
 }
@@ -553,6 +555,12 @@
   return capnp::expectedSizeInWordsFromPrefix(words) * sizeof(capnp::word);
 }
 
+std::string ToBytes(capnp::MessageBuilder& builder) {
+  const auto words = capnp::messageToFlatArray(builder);
+  const auto bytes = words.asBytes();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
 // Whether the HTTP message that it contains, if any, can be passed on.
 bool IsUsable(const LinkMessage& message) {
   if (const auto* order = std::get_if<RunOrder>(&message)) {
@@ -568,9 +576,16 @@
 std::string EncodeLinkMessage(const LinkMessage& message) {
   capnp::MallocMessageBuilder builder;
   std::visit(Encoder{builder.initRoot<linkwire::Message>()}, message);
-  const auto words = capnp::messageToFlatArray(builder);
-  const auto bytes = words.asBytes();
-  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+  return ToBytes(builder);
+}
+
+std::string EncodeLinkFragment(const LinkFragment& fragment) {
+  capnp::MallocMessageBuilder builder;
+  auto part = builder.initRoot<linkwire::Message>().initFragment();
+  part.setData(ToData(fragment.data_));
+  part.setLast(fragment.last_);
+  part.setAborted(fragment.aborted_);
+  return ToBytes(builder);
 }
 
 LinkDecodeResult DecodeLinkMessage(std::string_view bytes) {
@@ -594,13 +609,22 @@
   try {
     capnp::FlatArrayMessageReader reader(
         words, {.traversalLimitInWords = 2 * words.size() + 1024});
-    decoded.message_ = Decode(reader.getRoot<linkwire::Message>());
+    const auto message = reader.getRoot<linkwire::Message>();
+    if (message.isFragment()) {
+      const auto part = message.getFragment();
+      decoded.fragment_ = {.data_ = ToString(part.getData()),
+                           .last_ = part.getLast(),
+                           .aborted_ = part.getAborted()};
+      return decoded;
+    }
+    decoded.message_ = Decode(message);
   } catch (const kj::Exception&) {
     decoded.malformed_ = true;
   }
-  if (!decoded.message_ || !IsUsable(*decoded.message_)) {
-    decoded.malformed_ = true;
+  if (decoded.message_ && !IsUsable(*decoded.message_)) {
+    decoded.message_.reset();
   }
+  if (!decoded.message_) decoded.malformed_ = true;
   return decoded;
 }
 
--- a/src/relaylink/link_codec.h
+++ b/src/relaylink/link_codec.h
@@ -16,10 +16,20 @@
 // the size of the message.
 std::string EncodeLinkMessage(const LinkMessage& message);
 
-// Result of decoding the first message of a stream. Neither a message nor
-// malformed: more bytes are needed.
+// Part of the encoding of a large message.
+struct LinkFragment {
+  std::string data_;
+  bool last_ = false;
+  bool aborted_ = false;  // the message is given up; its parts mean nothing
+};
+
+std::string EncodeLinkFragment(const LinkFragment& fragment);
+
+// Result of decoding the first message of a stream. Neither a message, a
+// fragment nor malformed: more bytes are needed.
 struct LinkDecodeResult {
   std::optional<LinkMessage> message_;
+  std::optional<LinkFragment> fragment_;
   std::size_t consumed_ = 0;  // 0: the message is incomplete
   bool malformed_ = false;
 };
--- a/src/relaylink/peer_links.cc
+++ b/src/relaylink/peer_links.cc
@@ -7,20 +7,31 @@
 namespace jujubefront {
 namespace {
 
-// Limit on the unsent bytes of a connection. A peer that does not read is
-// disconnected above it, so that it cannot exhaust the memory of this process.
+// Limit on the unsent bytes of small messages on a connection. A peer that does
+// not read is disconnected above it, so that it cannot exhaust the memory of
+// this process.
 constexpr std::size_t kMaxUnsentBytes = 8 * 1024 * 1024;
+// Unsent bytes of a connection, here and in the kernel, up to which further
+// fragments are sent. Other messages wait for no more than that.
+constexpr std::size_t kMaxFragmentsAhead = 128 * 1024;
+
+std::uint64_t SendIdOf(const LinkMessage& message) {
+  const auto* order = std::get_if<RunOrder>(&message);
+  return order == nullptr ? 0 : order->send_id_;
+}
 
 }  // namespace
 
-PeerLinks::PeerLinks(SilenceOptions silence, Handlers handlers)
+PeerLinks::PeerLinks(SilenceOptions silence, std::size_t max_queued_bytes,
+                     Handlers handlers)
     : silence_(silence),
+      max_queued_bytes_(max_queued_bytes),
       handlers_(std::move(handlers)),
       listener_(silence, [this](TcpConnection* s) { OnAccepted(s); }) {}
 
 PeerLinks::~PeerLinks() {
-  for (auto& [id, socket] : inbound_) socket->Close();
-  for (auto& [peer, socket] : outbound_) socket->Close();
+  for (auto& [id, link] : inbound_) link.socket_->Close();
+  for (auto& [peer, link] : outbound_) link.socket_->Close();
 }
 
 bool PeerLinks::Listen(const std::string& address) {
@@ -29,32 +40,52 @@
 
 void PeerLinks::OnAccepted(TcpConnection* socket) {
   const std::uint64_t id = ++last_id_;
-  inbound_[id] = socket;
-  socket->SetHandlers({.on_connected_ = {},
-                       .on_data_ = [this, id] { OnInboundData(id); },
-                       .on_flushed_ = {},
-                       .on_end_ =
-                           [this, id](ConnectionEnd) {
-                             inbound_.at(id)->Close();
-                             inbound_.erase(id);
-                             handlers_.on_inbound_end_(id);
-                           }});
+  inbound_[id].socket_ = socket;
+  socket->LimitUnsentInKernel(kMaxFragmentsAhead);
+  socket->SetHandlers(
+      {.on_connected_ = {},
+       .on_data_ = [this, id] { OnInboundData(id); },
+       .on_flushed_ = [this, id] { SendFragments(inbound_.at(id)); },
+       .on_end_ =
+           [this, id](ConnectionEnd) {
+             inbound_.at(id).socket_->Close();
+             inbound_.erase(id);
+             handlers_.on_inbound_end_(id);
+           }});
+}
+
+PeerLinks::Received PeerLinks::Receive(Link& link) {
+  LinkDecodeResult decoded = DecodeLinkMessage(link.socket_->inbox());
+  if (decoded.malformed_) return {.malformed_ = true};
+  if (decoded.consumed_ == 0) return {};
+  link.socket_->Consume(decoded.consumed_);
+  if (!decoded.fragment_) {
+    return {.message_ = std::move(decoded.message_), .more_ = true};
+  }
+  Received received{.more_ = true};
+  const auto encoded =
+      link.assembler_.Add(*decoded.fragment_, received.malformed_);
+  if (!encoded) return received;
+  LinkDecodeResult joined = DecodeLinkMessage(*encoded);
+  received.message_ = std::move(joined.message_);
+  received.malformed_ = joined.malformed_ || !received.message_;
+  return received;
 }
 
 void PeerLinks::OnInboundData(std::uint64_t connection_id) {
   // Looked up after every message: a handler may close the connection.
   for (auto found = inbound_.find(connection_id); found != inbound_.end();
        found = inbound_.find(connection_id)) {
-    LinkDecodeResult decoded = DecodeLinkMessage(found->second->inbox());
-    if (decoded.malformed_) {
-      found->second->Close();
+    Received received = Receive(found->second);
+    if (received.malformed_) {
+      found->second.socket_->Close();
       inbound_.erase(found);
       handlers_.on_unreadable_({});
       return handlers_.on_inbound_end_(connection_id);
     }
-    if (decoded.consumed_ == 0) return;
-    found->second->Consume(decoded.consumed_);
-    handlers_.on_inbound_(connection_id, std::move(*decoded.message_));
+    if (!received.more_) return;
+    if (!received.message_) continue;
+    handlers_.on_inbound_(connection_id, std::move(*received.message_));
   }
 }
 
@@ -65,32 +96,33 @@
     QTimer::singleShot(0, this, [this, peer] { OnOutboundEnd(peer); });
     return;
   }
-  outbound_[peer] = socket;
+  outbound_[peer].socket_ = socket;
+  socket->LimitUnsentInKernel(kMaxFragmentsAhead);
   socket->SetHandlers(
       {.on_connected_ = [this, peer] { handlers_.on_connected_(peer); },
        .on_data_ = [this, peer] { OnOutboundData(peer); },
-       .on_flushed_ = {},
+       .on_flushed_ = [this, peer] { SendFragments(outbound_.at(peer)); },
        .on_end_ = [this, peer](ConnectionEnd) { OnOutboundEnd(peer); }});
 }
 
 void PeerLinks::Disconnect(const std::string& peer) {
   const auto found = outbound_.find(peer);
   if (found == outbound_.end()) return;
-  found->second->Abort();
+  found->second.socket_->Abort();
   outbound_.erase(found);
 }
 
 void PeerLinks::OnOutboundData(const std::string& peer) {
   for (auto found = outbound_.find(peer); found != outbound_.end();
        found = outbound_.find(peer)) {
-    LinkDecodeResult decoded = DecodeLinkMessage(found->second->inbox());
-    if (decoded.malformed_) {
+    Received received = Receive(found->second);
+    if (received.malformed_) {
       handlers_.on_unreadable_(peer);
       return OnOutboundEnd(peer);
     }
-    if (decoded.consumed_ == 0) return;
-    found->second->Consume(decoded.consumed_);
-    handlers_.on_outbound_(peer, std::move(*decoded.message_));
+    if (!received.more_) return;
+    if (!received.message_) continue;
+    handlers_.on_outbound_(peer, std::move(*received.message_));
   }
 }
 
@@ -99,20 +131,64 @@
   handlers_.on_disconnected_(peer);
 }
 
+std::size_t PeerLinks::queued_bytes() const {
+  std::size_t total = 0;
+  for (const auto& [id, link] : inbound_) total += link.large_.size();
+  for (const auto& [peer, link] : outbound_) total += link.large_.size();
+  return total;
+}
+
+PeerLinks::Written PeerLinks::Write(Link& link, const LinkMessage& message) {
+  if (link.socket_->unsent_bytes() > kMaxUnsentBytes) {
+    return Written::kTooMuchUnsent;
+  }
+  std::string encoded = EncodeLinkMessage(message);
+  if (encoded.size() <= kMaxFragmentBytes) {
+    link.socket_->Write(encoded);
+    return Written::kYes;
+  }
+  if (queued_bytes() + encoded.size() > max_queued_bytes_) {
+    return Written::kNoMemory;
+  }
+  link.large_.Push(std::move(encoded), SendIdOf(message));
+  SendFragments(link);
+  return Written::kYes;
+}
+
+void PeerLinks::SendFragments(Link& link) {
+  while (link.socket_->unsent_bytes() == 0) {
+    const auto fragment = link.large_.Next();
+    if (!fragment) return;
+    link.socket_->Write(EncodeLinkFragment(*fragment));
+  }
+}
+
 void PeerLinks::Send(const std::string& peer, const LinkMessage& message) {
   const auto found = outbound_.find(peer);
   if (found == outbound_.end()) return;
-  if (found->second->unsent_bytes() > kMaxUnsentBytes) {
+  const auto* cancel = std::get_if<RunCancel>(&message);
+  // The host has not seen an order that is not sent completely.
+  if (cancel != nullptr && found->second.large_.Cancel(cancel->send_id_)) {
+    return SendFragments(found->second);
+  }
+  const Written written = Write(found->second, message);
+  if (written == Written::kTooMuchUnsent) {
     QTimer::singleShot(0, this, [this, peer] { OnOutboundEnd(peer); });
-    return;
   }
-  found->second->Write(EncodeLinkMessage(message));
+  const std::uint64_t send_id = SendIdOf(message);
+  if (written != Written::kNoMemory || send_id == 0) return;
+  QTimer::singleShot(0, this, [this, peer, send_id] {
+    handlers_.on_outbound_(peer,
+                           RunReply{.send_id_ = send_id,
+                                    .outcome_ = RunOutcome::kNotRun,
+                                    .reason_ = NotRunReason::kOverloaded});
+  });
 }
 
 std::size_t PeerLinks::undelivered_replies() const {
   std::size_t total = 0;
-  for (const auto& [id, socket] : inbound_) {
-    total += socket->undelivered_bytes();
+  for (const auto& [id, link] : inbound_) {
+    total += link.socket_->undelivered_bytes() + link.large_.size();
   }
   return total;
 }
@@ -121,15 +197,21 @@
                          const LinkMessage& message) {
   const auto found = inbound_.find(connection_id);
   if (found == inbound_.end()) return;
-  if (found->second->unsent_bytes() > kMaxUnsentBytes) {
-    found->second->Abort();
+  const Written written = Write(found->second, message);
+  if (written == Written::kTooMuchUnsent) {
+    found->second.socket_->Abort();
     inbound_.erase(found);
     QTimer::singleShot(0, this, [this, connection_id] {
       handlers_.on_inbound_end_(connection_id);
     });
     return;
   }
-  found->second->Write(EncodeLinkMessage(message));
+  const auto* reply = std::get_if<RunReply>(&message);
+  if (written != Written::kNoMemory || reply == nullptr) return;
+  RunReply lost = *reply;
+  lost.outcome_ = RunOutcome::kBroken;
+  lost.response_ = {};
+  Write(found->second, lost);
 }
 
 }  // namespace jujubefront
--- a/src/relaylink/peer_links.h
+++ b/src/relaylink/peer_links.h
@@ -9,12 +9,14 @@
 
 #include "netio/tcp_listener.h"
 #include "relay/message_types.h"
+#include "relaylink/large_messages.h"
 
 namespace jujubefront {
 
 // This relay's connections to the relays of other hosts. Each relay opens an
 // outbound connection to every peer, on which it sends its messages and
 // receives the replies to them. Inbound connections are those that peers open.
+// Small messages pass large ones, which are sent in fragments.
 class PeerLinks : public QObject {
  public:
   struct Handlers {
@@ -31,7 +33,9 @@
     std::function<void(const std::string& peer)> on_unreadable_;
   };
 
-  PeerLinks(SilenceOptions silence, Handlers handlers);
+  // `max_queued_bytes`: limit on the large messages that wait to be sent.
+  PeerLinks(SilenceOptions silence, std::size_t max_queued_bytes,
+            Handlers handlers);
   ~PeerLinks() override;
 
   // Returns false if the address cannot be bound.
@@ -41,24 +45,48 @@
   void Connect(const std::string& peer);
   void Disconnect(const std::string& peer);
   // Sends on the outbound connection; the message is dropped if there is none.
+  // A run order for which there is no memory is answered as not run.
   void Send(const std::string& peer, const LinkMessage& message);
   // Bytes of replies that peers have not acknowledged yet.
   std::size_t undelivered_replies() const;
-  // Replies on an inbound connection.
+  // Replies on an inbound connection. A response for which there is no memory
+  // is replaced by the outcome that it is lost.
   void SendBack(std::uint64_t connection_id, const LinkMessage& message);
 
  private:
+  struct Link {
+    TcpConnection* socket_ = nullptr;
+    FragmentQueue large_;
+    FragmentAssembler assembler_;
+  };
+  enum class Written : std::uint8_t {
+    kYes,
+    kNoMemory,       // a large message that was dropped
+    kTooMuchUnsent,  // the peer does not read
+  };
+  // What the first bytes that have arrived on a connection contain.
+  struct Received {
+    std::optional<LinkMessage> message_;
+    bool more_ = false;  // call again
+    bool malformed_ = false;
+  };
+
   void OnAccepted(TcpConnection* socket);
   void OnInboundData(std::uint64_t connection_id);
   void OnOutboundData(const std::string& peer);
   void OnOutboundEnd(const std::string& peer);
+  static Received Receive(Link& link);
+  Written Write(Link& link, const LinkMessage& message);
+  static void SendFragments(Link& link);
+  std::size_t queued_bytes() const;
 
   SilenceOptions silence_;
+  std::size_t max_queued_bytes_;
   Handlers handlers_;
   TcpListener listener_;
   std::uint64_t last_id_ = 0;
-  std::map<std::uint64_t, TcpConnection*> inbound_;
-  std::map<std::string, TcpConnection*> outbound_;
+  std::map<std::uint64_t, Link> inbound_;
+  std::map<std::string, Link> outbound_;
 };
 
 }  // namespace jujubefront
--- /dev/null
+++ b/src/relaylink/tests/large_message_tests.cc
@@ -0,0 +1,203 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+
+#include "netio/epoll_dispatcher.h"
+#include "relaylink/peer_links.h"
+
+namespace jujubefront {
+namespace {
+
+// An address of its own for each process, so that test runs do not collide.
+const std::string kAddress = [] {
+  constexpr int kByte = 256;
+  const int id = getpid();
+  return "127.93." + std::to_string(id / kByte % kByte) + "." +
+         std::to_string(id % kByte) + ":18931";
+}();
+constexpr std::size_t kLargeBody = 30 * 1024 * 1024;
+constexpr std::size_t kMemory = 128 * 1024 * 1024;
+
+RunOrder MakeOrder(std::uint64_t send_id, std::size_t body_bytes) {
+  RunOrder order{.send_id_ = send_id};
+  order.request_ = {
+      .method_ = "POST", .target_ = "/", .body_ = std::string(body_bytes, 'b')};
+  return order;
+}
+
+// Creates the event loop of this process when it is first called.
+void EnsureApplication() {
+  static int argc = 1;
+  static char name[] = "relaylink_tests";
+  static char* argv[] = {name, nullptr};
+  static const auto kApplication = [] {
+    QCoreApplication::setEventDispatcher(new EpollDispatcher);
+    return std::make_unique<QCoreApplication>(argc, argv);
+  }();
+}
+
+// Two nodes; `client_` opens a connection to `server_`.
+class Pair {
+ public:
+  explicit Pair(std::size_t max_queued_bytes = kMemory)
+      : server_({}, max_queued_bytes,
+                {.on_inbound_ =
+                     [this](std::uint64_t id, LinkMessage message) {
+                       connection_id_ = id;
+                       received_.push_back(std::move(message));
+                     },
+                 .on_inbound_end_ = [this](std::uint64_t) { ++ends_; },
+                 .on_outbound_ = {},
+                 .on_connected_ = {},
+                 .on_disconnected_ = {},
+                 .on_unreadable_ = [this](const std::string&) { ++ends_; }}),
+        client_({}, max_queued_bytes,
+                {.on_inbound_ = {},
+                 .on_inbound_end_ = {},
+                 .on_outbound_ =
+                     [this](const std::string&, LinkMessage message) {
+                       replies_.push_back(std::move(message));
+                     },
+                 .on_connected_ = [this](const std::string&) { ++connected_; },
+                 .on_disconnected_ = [this](const std::string&) { ++ends_; },
+                 .on_unreadable_ = [this](const std::string&) { ++ends_; }}) {
+    CPPUNIT_ASSERT(server_.Listen(kAddress));
+    client_.Connect(kAddress);
+    CPPUNIT_ASSERT(Wait([this] { return connected_ == 1; }));
+  }
+
+  template <typename Condition>
+  static bool Wait(Condition condition) {
+    constexpr qint64 kTimeoutMs = 10'000;
+    constexpr int kSliceMs = 5;
+    QElapsedTimer timer;
+    timer.start();
+    while (!condition()) {
+      if (timer.elapsed() > kTimeoutMs) return false;
+      QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents, kSliceMs);
+    }
+    return true;
+  }
+
+  PeerLinks server_;
+  PeerLinks client_;
+  std::uint64_t connection_id_ = 0;
+  std::vector<LinkMessage> received_;
+  std::vector<LinkMessage> replies_;
+  int connected_ = 0;
+  int ends_ = 0;
+};
+
+class LargeMessageTests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LargeMessageTests);
+  CPPUNIT_TEST(SmallMessagesPassLargeOnes);
+  CPPUNIT_TEST(LargeRepliesArriveWhole);
+  CPPUNIT_TEST(OrdersWithoutMemoryAreAnsweredAsNotRun);
+  CPPUNIT_TEST(ResponsesWithoutMemoryAreLostAlone);
+  CPPUNIT_TEST(CancelledOrdersAreNotDelivered);
+  CPPUNIT_TEST(FragmentsBeyondTheLargestMessageAreMalformed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { EnsureApplication(); }
+
+  // An order with a body of 30 MB left more than 8 MB unsent, and the next
+  // message ended the connection with all requests on it.
+  void SmallMessagesPassLargeOnes() {
+    Pair pair;
+    pair.client_.Send(kAddress, MakeOrder(1, kLargeBody));
+    constexpr std::size_t kSmall = 50;
+    for (std::size_t i = 0; i < kSmall; ++i) {
+      pair.client_.Send(kAddress, MakeOrder(2 + i, 10));
+    }
+    CPPUNIT_ASSERT(
+        Pair::Wait([&] { return pair.received_.size() == kSmall + 1; }));
+    CPPUNIT_ASSERT_EQUAL(0, pair.ends_);
+    const auto& last = std::get<RunOrder>(pair.received_.back());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, last.send_id_);
+    CPPUNIT_ASSERT(last.request_.body_ == std::string(kLargeBody, 'b'));
+  }
+
+  void LargeRepliesArriveWhole() {
+    Pair pair;
+    pair.client_.Send(kAddress, PeerPing{});
+    CPPUNIT_ASSERT(Pair::Wait([&] { return !pair.received_.empty(); }));
+    RunReply reply{.send_id_ = 7, .outcome_ = RunOutcome::kAnswered};
+    reply.response_ = {.status_ = 200, .body_ = std::string(kLargeBody, 'r')};
+    pair.server_.SendBack(pair.connection_id_, reply);
+    CPPUNIT_ASSERT(pair.server_.undelivered_replies() > kLargeBody / 2);
+    pair.server_.SendBack(pair.connection_id_, PeerPong{});
+    CPPUNIT_ASSERT(Pair::Wait([&] { return pair.replies_.size() == 2; }));
+    CPPUNIT_ASSERT(std::holds_alternative<PeerPong>(pair.replies_[0]));
+    CPPUNIT_ASSERT(std::get<RunReply>(pair.replies_[1]).response_.body_ ==
+                   reply.response_.body_);
+    CPPUNIT_ASSERT_EQUAL(0, pair.ends_);
+  }
+
+  void OrdersWithoutMemoryAreAnsweredAsNotRun() {
+    Pair pair(kLargeBody + kLargeBody / 2);
+    pair.client_.Send(kAddress, MakeOrder(1, kLargeBody));
+    pair.client_.Send(kAddress, MakeOrder(2, kLargeBody));
+    CPPUNIT_ASSERT(Pair::Wait([&] { return !pair.replies_.empty(); }));
+    const auto& reply = std::get<RunReply>(pair.replies_[0]);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, reply.send_id_);
+    CPPUNIT_ASSERT(reply.outcome_ == RunOutcome::kNotRun);
+    CPPUNIT_ASSERT(reply.reason_ == NotRunReason::kOverloaded);
+    CPPUNIT_ASSERT(Pair::Wait([&] { return !pair.received_.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.received_.size());
+    CPPUNIT_ASSERT_EQUAL(0, pair.ends_);
+  }
+
+  void ResponsesWithoutMemoryAreLostAlone() {
+    Pair pair(kLargeBody / 2);
+    pair.client_.Send(kAddress, PeerPing{});
+    CPPUNIT_ASSERT(Pair::Wait([&] { return !pair.received_.empty(); }));
+    RunReply reply{.send_id_ = 7, .outcome_ = RunOutcome::kAnswered};
+    reply.response_ = {.status_ = 200, .body_ = std::string(kLargeBody, 'r')};
+    pair.server_.SendBack(pair.connection_id_, reply);
+    CPPUNIT_ASSERT(Pair::Wait([&] { return !pair.replies_.empty(); }));
+    const auto& lost = std::get<RunReply>(pair.replies_[0]);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, lost.send_id_);
+    CPPUNIT_ASSERT(lost.outcome_ == RunOutcome::kBroken);
+    CPPUNIT_ASSERT_EQUAL(0, pair.ends_);
+  }
+
+  // A cancellation that passes its order would be ignored, and the request of a
+  // client that has left would run.
+  void CancelledOrdersAreNotDelivered() {
+    for (const bool begun : {true, false}) {
+      Pair pair;
+      if (!begun) pair.client_.Send(kAddress, MakeOrder(1, kLargeBody));
+      pair.client_.Send(kAddress, MakeOrder(2, kLargeBody));
+      pair.client_.Send(kAddress, RunCancel{.send_id_ = 2});
+      pair.client_.Send(kAddress, MakeOrder(3, kLargeBody));
+      const std::size_t expected = begun ? 1 : 2;
+      CPPUNIT_ASSERT(
+          Pair::Wait([&] { return pair.received_.size() == expected; }));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{3},
+                           std::get<RunOrder>(pair.received_.back()).send_id_);
+      CPPUNIT_ASSERT_EQUAL(0, pair.ends_);
+    }
+  }
+
+  // A peer that never ends a message must not use up the memory.
+  void FragmentsBeyondTheLargestMessageAreMalformed() {
+    FragmentAssembler assembler;
+    const LinkFragment fragment{.data_ = std::string(1024 * 1024, 'x')};
+    bool malformed = false;
+    std::size_t bytes = 0;
+    while (!malformed && bytes <= 2 * kMaxLinkMessageBytes) {
+      CPPUNIT_ASSERT(!assembler.Add(fragment, malformed));
+      bytes += fragment.data_.size();
+    }
+    CPPUNIT_ASSERT(malformed);
+    CPPUNIT_ASSERT(bytes <= kMaxLinkMessageBytes + fragment.data_.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LargeMessageTests);
+
+}  // namespace
+}  // namespace jujubefront
