HTTP: a document's limits apply to connections that are open

Cause: a connection's reader kept the limits of the moment it opened. Now they are those in force when the first byte of a request is read, which also holds for limits that were lowered.

NewLimitsApplyToOpenConnections failed before (413 in place of 200).

--- a/src/http1/http1_codec.cc
+++ b/src/http1/http1_codec.cc
@@ -235,9 +235,14 @@
   }
   parser_ = std::make_unique<Parser>(limits_);
   parser_->parser_.eager(true);
+  SetLimits(limits_);
+  return request;
+}
+
+void Http1RequestReader::SetLimits(const Http1Limits& limits) {
+  limits_ = limits;
   parser_->parser_.header_limit(limits_.max_header_bytes_);
   parser_->parser_.body_limit(limits_.max_body_bytes_);
-  return request;
 }
 
 struct Http1ResponseReader::Parser {
--- a/src/http1/http1_codec.h
+++ b/src/http1/http1_codec.h
@@ -33,6 +33,10 @@
   // Returns the complete request and resets the reader for the next one.
   Http1Request Take();
 
+  // Sets the limits of a request that has not started. Their memory must be
+  // that of the constructor.
+  void SetLimits(const Http1Limits& limits);
+
  private:
   struct Parser;
   Http1Limits limits_;
--- a/src/http1/http1_server.cc
+++ b/src/http1/http1_server.cc
@@ -124,7 +124,11 @@
   }
   const auto inbox = connection.socket_->inbox();
   if (inbox.empty()) return;
-  if (!connection.reader_->started()) connection.state_since_ = Clock::now();
+  if (!connection.reader_->started()) {
+    connection.state_since_ = Clock::now();
+    // The options may have changed since the connection opened.
+    connection.reader_->SetLimits(options_.limits_);
+  }
   const Http1Progress progress = connection.reader_->Read(inbox);
   connection.socket_->Consume(progress.consumed_);
   if (progress.fault_ != Http1Fault::kNone) {
--- a/src/http1/tests/connection_tests.cc
+++ b/src/http1/tests/connection_tests.cc
@@ -286,6 +286,7 @@
   CPPUNIT_TEST(SlowReadersTakeBoundedMemory);
   CPPUNIT_TEST(ConnectionsAreBounded);
   CPPUNIT_TEST(RefusedClientsGetTheirResponseWhileTheySend);
+  CPPUNIT_TEST(NewLimitsApplyToOpenConnections);
   CPPUNIT_TEST(DescriptorsStayInTheProcess);
   CPPUNIT_TEST(AcceptsAgainAfterItRanOutOfDescriptors);
   CPPUNIT_TEST_SUITE_END();
@@ -448,6 +449,46 @@
     }
   }
 
+  // A connection kept the limits that were in force when it opened: a larger
+  // body that the operator has allowed since was refused with 413 for good.
+  void NewLimitsApplyToOpenConnections() {
+    EnsureApplication();
+    constexpr std::size_t kBodyBytes = 2000;
+    struct Row {
+      std::uint64_t max_body_bytes_;
+      std::string begin_;
+    };
+    const Row rows[] = {
+        {kBodyBytes / 2, "HTTP/1.1 413"},
+        {kBodyBytes, "HTTP/1.1 200"},
+    };
+    for (const Row& row : rows) {
+      std::unique_ptr<Http1Server> server;
+      server = std::make_unique<Http1Server>(
+          Http1ServerOptions{.limits_ = {.max_body_bytes_ = kBodyBytes - 1}},
+          Http1Server::Handlers{.on_request_ =
+                                    [&](std::uint64_t id, const Http1Request&) {
+                                      server->Answer(id, {.status_ = 200});
+                                    },
+                                .on_client_gone_ = [](std::uint64_t) {}});
+      CPPUNIT_ASSERT(server->Listen(kAddress));
+      TcpConnection* client = TcpConnection::Open(
+          "127.0.0.1:" + std::to_string(server->port()), {});
+      client->SetHandlers({});
+      const auto exchange = [&](const std::string& body) {
+        client->Consume(client->inbox().size());
+        client->Write(
+            WriteRequest({.method_ = "POST", .target_ = "/", .body_ = body}));
+        CPPUNIT_ASSERT(RunLoopUntil([&] { return !client->inbox().empty(); }));
+        return std::string(client->inbox().substr(0, row.begin_.size()));
+      };
+      CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), exchange("a"));
+      server->SetOptions({.limits_ = {.max_body_bytes_ = row.max_body_bytes_}});
+      CPPUNIT_ASSERT_EQUAL(row.begin_, exchange(std::string(kBodyBytes, 'b')));
+      client->Close();
+    }
+  }
+
   void ClientThatSendsWithoutEndHarmsNobodyElse() {
     EnsureApplication();
     for (const EndlessPart& part : EndlessParts()) {
