--- a/src/relaymodel/fleet_simulator.cc
+++ b/src/relaymodel/fleet_simulator.cc
@@ -17,6 +17,7 @@
 constexpr Duration kStoreLatency = std::chrono::milliseconds(4);
 // Time beyond the requested wait after which a call to the store fails.
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
+constexpr std::uint64_t kLeaveCall = 1;  // id of a leave call
 // Idle connections to the store that a host keeps.
 constexpr int kIdleStoreConnections = 4;
 constexpr Duration kBackendLatency = std::chrono::microseconds(200);
@@ -92,6 +93,8 @@
   std::set<std::uint64_t> requests_;  // not answered yet
   std::deque<Run> queue_;             // used without relays
   RateLimitAudit limit_audit_;
+  std::optional<Timestamp> left_at_;        // when it sent its leave call
+  std::optional<Timestamp> left_acked_at_;  // when that was acknowledged
 };
 
 FleetSimulator::FleetSimulator(const Fleet& fleet, const FleetPolicy& policy,
@@ -135,6 +138,8 @@
     node.backend_alive_ = true;
     ++node.incarnation_;
     node.limit_audit_ = {};
+    node.left_at_.reset();
+    node.left_acked_at_.reset();
   }
   if (policy_.without_relays_) return;
   node.options_ = {.address_ = AddressOf(index),
@@ -157,20 +162,36 @@
   SendHeartbeat(index);
 }
 
+BackendHeartbeat FleetSimulator::MakeHeartbeat(std::size_t index) {
+  Node& node = *nodes_[index];
+  return {.instance_ = "i-" + std::to_string(index) + "-" +
+                       std::to_string(node.incarnation_),
+          .service_ = fleet_.hosts_[index].service_,
+          .address_ = node.options_.backend_address_,
+          .started_at_ms_ = static_cast<std::int64_t>(node.incarnation_),
+          .sequence_ = ++node.sequence_,
+          .slots_ = fleet_.hosts_[index].slots_};
+}
+
+void FleetSimulator::Leave(std::size_t host) {
+  const BackendHeartbeat heartbeat = MakeHeartbeat(host);
+  nodes_[host]->left_at_ = now_;
+  Feed(host, BackendDeregistered{.call_id_ = kLeaveCall,
+                                 .instance_ = heartbeat.instance_,
+                                 .started_at_ms_ = heartbeat.started_at_ms_});
+}
+
+void FleetSimulator::DeliverLateHeartbeat(std::size_t host) {
+  Feed(host, MakeHeartbeat(host));
+}
+
 void FleetSimulator::SendHeartbeat(std::size_t index) {
   const std::uint64_t incarnation = nodes_[index]->incarnation_;
   At(now_ + kBackendLatency, [this, index, incarnation] {
     Node& node = *nodes_[index];
     if (!node.alive_ || !node.backend_alive_) return;
-    if (node.incarnation_ != incarnation) return;
-    Feed(index, BackendHeartbeat{
-                    .instance_ = "i-" + std::to_string(index) + "-" +
-                                 std::to_string(incarnation),
-                    .service_ = fleet_.hosts_[index].service_,
-                    .address_ = node.options_.backend_address_,
-                    .started_at_ms_ = static_cast<std::int64_t>(incarnation),
-                    .sequence_ = ++node.sequence_,
-                    .slots_ = fleet_.hosts_[index].slots_});
+    if (node.incarnation_ != incarnation || node.left_at_) return;
+    Feed(index, MakeHeartbeat(index));
     At(now_ + kHeartbeatInterval, [this, index, incarnation] {
       if (nodes_[index]->incarnation_ == incarnation) SendHeartbeat(index);
     });
@@ -420,7 +441,12 @@
     simulator_.saved_departures_[index_] = std::move(effect.departures_);
     FeedLater(kStoreLatency, DeparturesSaved{});
   }
-  void operator()(AnswerBackend&) const {}
+  void operator()(AnswerBackend& effect) const {
+    if (effect.call_id_ != kLeaveCall) return;
+    node().left_acked_at_ = simulator_.now_;
+    simulator_.departures_audit_.acknowledged_after_.push_back(
+        simulator_.now_ - *node().left_at_);
+  }
   void operator()(ApplyClientLimits&) const {}
   void operator()(SetReady&) const {}
   void operator()(CloseClients&) const {}
@@ -569,6 +595,10 @@
         BackendExchangeFailed{.run_id_ = start.run_id_,
                               .failure_ = BackendExchangeFailure::kRefused});
   }
+  const auto& left_acked_at = nodes_[index]->left_acked_at_;
+  if (left_acked_at && now_ > *left_acked_at + kDrain) {
+    ++departures_audit_.late_runs_;
+  }
   rate_limit_use_ =
       std::max(rate_limit_use_, nodes_[index]->limit_audit_.CountArrival(now_));
   if (Rejects(index, *FindHeader(start.request_.headers_, "Id"))) {
--- a/src/relaymodel/fleet_simulator.h
+++ b/src/relaymodel/fleet_simulator.h
@@ -61,6 +61,18 @@
   // Starts only the relay of a killed host anew: its backend server has kept
   // running.
   void RestartRelay(std::size_t host);
+  // The backend server of a host sends no more heartbeats, and a call by which
+  // it leaves; it goes on serving.
+  void Leave(std::size_t host);
+  // A heartbeat arrives that it sent before it left.
+  void DeliverLateHeartbeat(std::size_t host);
+  // What became of the backend servers that have left.
+  struct Departures {
+    std::vector<Duration> acknowledged_after_;
+    std::uint64_t late_runs_ = 0;  // started later than kDrain after that
+  };
+  static constexpr Duration kDrain = std::chrono::milliseconds(2500);
+  const Departures& departures() const { return departures_audit_; }
   // From now on the backend server of a host names this rate limit in its
   // answers; nullopt: none.
   void SetRateLimit(std::size_t host, std::optional<double> per_second);
@@ -135,6 +147,7 @@
   void ApplyEffects(std::size_t index, std::vector<RelayEffect> effects);
   void ScheduleWake(std::size_t index);
   void SendHeartbeat(std::size_t index);
+  BackendHeartbeat MakeHeartbeat(std::size_t index);
   Duration Latency(std::size_t from, std::size_t to) const;
   bool IsPartitioned(std::size_t from, std::size_t to) const;
   std::size_t IndexOf(const std::string& address) const;
@@ -211,6 +224,7 @@
   };
   std::map<Fingerprint, SavedCharges> saved_charges_;
   std::uint64_t charge_writes_ = 0;
+  Departures departures_audit_;
   // Departures that the store keeps, by host.
   std::map<std::size_t, std::vector<Departure>> saved_departures_;
   std::set<std::string> arrived_trace_ids_;  // trace ids
