--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -164,9 +164,12 @@
   kAdmissionChanged,
   kStopping,
   kReloaded,
-  kInputUnreadable,
+  kInputUnreadable,  // the last one, see kDecisionKinds
 };
 
+inline constexpr std::size_t kDecisionKinds =
+    static_cast<std::size_t>(DecisionKind::kInputUnreadable) + 1;
+
 using DecisionValue = std::variant<std::string, std::int64_t, double>;
 
 // A decision or a state change, with the inputs that led to it.
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -40,7 +40,7 @@
   bool ReserveLine(Timestamp now, DecisionKind kind);
 
   DecisionLogOptions options_;
-  std::array<LineBudget, 32> budgets_;
+  std::array<LineBudget, kDecisionKinds> budgets_;  // by kind
 };
 
 // Value of the field `event` for a kind of decision.
