Soak: backend servers that leave at once, and their late heartbeats

Every 1.1 s one backend server leaves by its call alone, in half of the cases right after the relay beside it was killed, and a heartbeat from before arrives up to 1.5 s later. The rule that no run starts later than `drain` after the acknowledgement covers it.

--- a/standins/platform/backend_standin.cc
+++ b/standins/platform/backend_standin.cc
@@ -7,6 +7,9 @@
 namespace jujubefront {
 namespace {
 
+// Time after which a leave call without acknowledgement is repeated.
+constexpr std::chrono::milliseconds kLeaveRetry(100);
+
 std::chrono::milliseconds ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
@@ -24,11 +27,14 @@
       control_({},
                {.on_response_ =
                     [this](std::uint64_t id, const Http1Response& response) {
-                      if (response.status_ != 200) return;
+                      if (response.status_ != 200) return RepeatLeave(id);
                       ++acknowledged_;
-                      if (id == drain_sequence_) drain_acknowledged_ = true;
+                      if (id == drain_sequence_ || id == leave_call_) {
+                        drain_acknowledged_ = true;
+                      }
                     },
-                .on_failure_ = [](std::uint64_t, Http1Failure) {}}),
+                .on_failure_ = [this](std::uint64_t id,
+                                      Http1Failure) { RepeatLeave(id); }}),
       started_at_ms_(QDateTime::currentMSecsSinceEpoch()) {
   control_.SetAddress(options_.control_address_);
   QObject::connect(&heartbeat_, &QTimer::timeout, this,
@@ -55,7 +61,9 @@
                                           QDateTime::currentMSecsSinceEpoch());
   draining_ = false;
   drain_sequence_ = 0;
+  leave_call_ = 0;
   drain_acknowledged_ = false;
+  heartbeat_.start(ToMilliseconds(options_.heartbeat_));
   limit_audit_ = {};
   states_leaving_ = false;
   const bool listening = Listen();
@@ -112,6 +120,23 @@
   control_.Send(sequence_, heartbeat);
 }
 
+void BackendStandin::Leave() {
+  heartbeat_.stop();
+  leave_call_ = ++sequence_;
+  control_.Send(leave_call_, MakeLeave());
+}
+
+void BackendStandin::RepeatLeave(std::uint64_t call) {
+  if (call == 0 || call != leave_call_) return;
+  QTimer::singleShot(kLeaveRetry, this, [this, call] {
+    if (call == leave_call_) Leave();
+  });
+}
+
+void BackendStandin::SendLate(const Http1Request& heartbeat) {
+  control_.Send(++sequence_, heartbeat);
+}
+
 void BackendStandin::Drain() {
   draining_ = true;
   SendHeartbeat();
--- a/standins/platform/backend_standin.h
+++ b/standins/platform/backend_standin.h
@@ -51,6 +51,11 @@
   // The next heartbeat, and the call by which it leaves, for a test to send.
   Http1Request MakeHeartbeat();
   Http1Request MakeLeave() const;
+  // Leaves without having reported that it drains, and goes on serving. The
+  // call is repeated until it is acknowledged, see drain_acknowledged().
+  void Leave();
+  // Sends a heartbeat that MakeHeartbeat() returned earlier.
+  void SendLate(const Http1Request& heartbeat);
   void Drain();
   void SetWork(Duration work) { options_.work_ = work; }
   // Sets the size of the answers' bodies, beside the request's id.
@@ -87,6 +92,7 @@
 
  private:
   Http1Request MakeCall(const std::string& call, const QJsonObject& body) const;
+  void RepeatLeave(std::uint64_t call);
   void OnRequest(std::uint64_t id, const Http1Request& request);
   // Adds what the answer states about this instance.
   void AddStatements(HeaderList& headers);
@@ -119,6 +125,7 @@
   bool drain_acknowledged_ = false;
   // Sequence number of the first heartbeat that reports draining; 0: none.
   std::uint64_t drain_sequence_ = 0;
+  std::uint64_t leave_call_ = 0;  // id of the latest one; 0: none
 };
 
 }  // namespace jujubefront
--- a/standins/soak/main.cc
+++ b/standins/soak/main.cc
@@ -28,6 +28,7 @@
             << "  rate limits named " << result.named_limits_
             << ", largest use " << result.rate_limit_use_
             << "; leaving stated in answers " << result.stated_leaving_
+            << ", left at once " << result.left_at_once_
             << "; restores of the store " << result.store_restores_
             << ", silences for all hosts but one " << result.joint_silences_
             << ";\n";
--- a/standins/soak/soak_run.cc
+++ b/standins/soak/soak_run.cc
@@ -42,6 +42,8 @@
 // alone that they leave and are then replaced.
 constexpr Duration kStatementInterval = std::chrono::milliseconds(900);
 constexpr Duration kLimitLength = std::chrono::seconds(7);
+// Interval at which a backend server leaves at once.
+constexpr Duration kLeaveInterval = std::chrono::milliseconds(1100);
 constexpr Duration kLeavingLength = std::chrono::milliseconds(1500);
 constexpr std::array kLimits = {0.0, 0.4, 3.0, 8.0};
 // The rate limit binds a host this long after it has passed on an answer.
@@ -121,6 +123,7 @@
         random_{MixBits(options.plan_.seed_)},
         endless_random_{MixBits(~options.plan_.seed_)},
         statement_random_{MixBits(MixBits(~options.plan_.seed_))},
+        leave_random_{MixBits(options.plan_.seed_ + 1)},
         hosts_({.program_ = options.program_,
                 .hosts_ = options.plan_.hosts_,
                 .trace_sample_ = 1}),
@@ -150,6 +153,7 @@
     crash_timer_.stop();
     endless_timer_.stop();
     statement_timer_.stop();
+    leave_timer_.stop();
     restore_timer_.stop();
     joint_silence_timer_.stop();
     // Requests in flight end by their deadlines.
@@ -250,6 +254,9 @@
     QObject::connect(&statement_timer_, &QTimer::timeout, this,
                      [this] { ChangeStatements(); });
     statement_timer_.start(Millis(kStatementInterval));
+    QObject::connect(&leave_timer_, &QTimer::timeout, this,
+                     [this] { LeaveAtOnce(); });
+    leave_timer_.start(Millis(kLeaveInterval));
     QObject::connect(&restore_timer_, &QTimer::timeout, this, [this] {
       if (faults_over_) return;
       ++result_.store_restores_;
@@ -327,6 +334,29 @@
     });
   }
 
+  // One backend server leaves at once, at times right after a restart of the
+  // relay beside it; a heartbeat that it sent before arrives later. Draws from
+  // a generator of its own, see SendEndless.
+  void LeaveAtOnce() {
+    if (faults_over_) return;
+    const std::size_t index = NextBelow(leave_random_, states_.size());
+    const bool restarts = NextBelow(leave_random_, 2) == 0;
+    const auto delay = std::chrono::milliseconds(
+        NextBelow(leave_random_,
+                  static_cast<std::uint64_t>(Millis(kLeavingLength).count())));
+    BackendStandin& backend = *host(index).backend_;
+    const std::string instance = backend.instance();
+    const Http1Request late = backend.MakeHeartbeat();
+    if (restarts) Signal({.kind_ = FaultKind::kKill, .host_ = index});
+    backend.Leave();
+    FollowDrain(index, instance);
+    ++result_.left_at_once_;
+    RunAfter(delay, [&backend, late] { backend.SendLate(late); });
+    RunAfter(kLeavingLength, [this, index, instance] {
+      if (host(index).backend_->instance() == instance) Replace(index);
+    });
+  }
+
   void SilenceStoreJointly() {
     if (faults_over_) return;
     ++result_.joint_silences_;
@@ -800,6 +830,7 @@
   RandomState random_;
   RandomState endless_random_;
   RandomState statement_random_;
+  RandomState leave_random_;
   SidecarHosts hosts_;
   std::vector<HostState> states_;
   SoakObservations seen_;
@@ -808,6 +839,7 @@
   QTimer crash_timer_;
   QTimer endless_timer_;
   QTimer statement_timer_;
+  QTimer leave_timer_;
   QTimer restore_timer_;
   QTimer joint_silence_timer_;
   QTimer version_timer_;
--- a/standins/soak/soak_run.h
+++ b/standins/soak/soak_run.h
@@ -30,6 +30,7 @@
   int endless_responses_ = 0;
   int named_limits_ = 0;
   int stated_leaving_ = 0;
+  int left_at_once_ = 0;  // without having reported that they drain
   int store_restores_ = 0;
   int joint_silences_ = 0;       // of the store, for all hosts but one
   double rate_limit_use_ = 0.0;  // largest, see RateLimitAudit
