Relay: types of the local backend server in a header of their own

The version of a single departure was written and never read: the list holds departures as they are.

--- a/src/relay/internal/departures.cc
+++ b/src/relay/internal/departures.cc
@@ -25,12 +25,11 @@
           started_at_ms < left.started_at_ms_);
 }
 
-auto FindKnown(std::vector<KnownDeparture>& known, const std::string& instance,
+auto FindKnown(std::vector<Departure>& known, const std::string& instance,
                std::int64_t started_at_ms) {
-  return std::find_if(
-      known.begin(), known.end(), [&](const KnownDeparture& entry) {
-        return IsAbout(entry.departure_, instance, started_at_ms);
-      });
+  return std::find_if(known.begin(), known.end(), [&](const Departure& entry) {
+    return IsAbout(entry, instance, started_at_ms);
+  });
 }
 
 // Adds what another announcement of the same incarnation has stated.
@@ -54,12 +53,10 @@
 }
 
 // Drops the oldest departure, but not that of the current incarnation.
-void DropOldest(const LocalBackend& backend,
-                std::vector<KnownDeparture>& known) {
+void DropOldest(const LocalBackend& backend, std::vector<Departure>& known) {
   const auto oldest =
       std::find_if(known.begin(), known.end(), [&](const auto& entry) {
-        return !IsAbout(entry.departure_, backend.instance_,
-                        backend.started_at_ms_);
+        return !IsAbout(entry, backend.instance_, backend.started_at_ms_);
       });
   known.erase(oldest == known.end() ? known.begin() : oldest);
 }
@@ -96,10 +93,8 @@
 const Departure* FindDeparture(const RelayState& state,
                                const std::string& instance,
                                std::int64_t started_at_ms) {
-  for (const KnownDeparture& entry : state.departures_.known_) {
-    if (IsAbout(entry.departure_, instance, started_at_ms)) {
-      return &entry.departure_;
-    }
+  for (const Departure& entry : state.departures_.known_) {
+    if (IsAbout(entry, instance, started_at_ms)) return &entry;
   }
   return nullptr;
 }
@@ -110,13 +105,14 @@
   const auto found = FindKnown(log.known_, left.instance_, left.started_at_ms_);
   if (found != log.known_.end()) {
     // What the store keeps of it covers the heartbeats sent before.
-    Merge(found->departure_.left_, left);
+    Merge(found->left_, left);
     return;
   }
   if (log.known_.size() >= kMaxDepartures) {
     DropOldest(step.state_.backend_, log.known_);
   }
-  log.known_.push_back({.departure_ = departure, .version_ = ++log.version_});
+  log.known_.push_back(departure);
+  ++log.version_;
   ++step.state_.counters_.departures_recorded_;
   LogDeparture(step, departure);
   SaveUnkeptDepartures(step);
@@ -155,16 +151,16 @@
 void OnDeparturesRead(RelayStep& step, const DeparturesRead& read) {
   RecordStoreAnswer(step, StoreCall::kReadDepartures);
   DepartureLog& log = step.state_.departures_;
-  std::vector<KnownDeparture> earlier;
+  std::vector<Departure> earlier;
   for (const Departure& departure : read.departures_) {
     const BackendLeft& left = departure.left_;
     const auto found =
         FindKnown(log.known_, left.instance_, left.started_at_ms_);
     if (found == log.known_.end()) {
-      earlier.push_back({.departure_ = departure});
+      earlier.push_back(departure);
       continue;
     }
-    Merge(found->departure_.left_, left);
+    Merge(found->left_, left);
   }
   log.known_.insert(log.known_.begin(), earlier.begin(), earlier.end());
   while (log.known_.size() > kMaxDepartures) {
@@ -196,13 +192,9 @@
   if (!log.read_ || log.saving_version_) return;
   if (log.kept_version_ >= log.version_) return;
   log.saving_version_ = log.version_;
-  SaveDepartures save;
-  for (const KnownDeparture& entry : log.known_) {
-    save.departures_.push_back(entry.departure_);
-  }
   ++step.state_.counters_.store_calls_;
   ++step.state_.counters_.departure_writes_;
-  step.effects_.emplace_back(std::move(save));
+  step.effects_.emplace_back(SaveDepartures{.departures_ = log.known_});
 }
 
 void OnDeparturesSaved(RelayStep& step) {
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -19,6 +19,7 @@
 #include "pacing/pacing.h"
 #include "placement/placement.h"
 #include "quota/quota.h"
+#include "relay/local_backend_types.h"
 #include "relay/relay_effect_types.h"
 #include "relay/relay_event_types.h"
 #include "retries/retry_allowance.h"
@@ -193,39 +194,6 @@
   std::map<std::string, std::uint32_t> calls_;  // made by the run, by route
 };
 
-// A run that has ended without a response.
-struct UnansweredRun {
-  std::string trace_id_;
-  std::string instance_;
-  std::int64_t backend_started_at_ms_ = 0;
-  Fingerprint content_;
-  std::string caller_service_;
-  std::uint64_t connection_id_ = 0;  // of the entry; 0: this node
-  Timestamp started_at_;
-  Timestamp ended_at_;
-};
-
-// An incarnation of a backend server that ended without deregistering.
-struct EndedBackend {
-  std::string instance_;
-  std::int64_t started_at_ms_ = 0;
-  Timestamp last_start_;  // runs started later found it ended already
-  std::string_view how_;  // evidence of the end, for the log
-};
-
-// Evidence that an incarnation of the local backend server has ended, and the
-// runs that may have been in progress at that time.
-struct CrashEvidence {
-  EndedBackend ended_;                    // the most recent one
-  std::deque<UnansweredRun> unanswered_;  // oldest first
-  // Runs that broke after the end was detected and are not reported yet.
-  std::vector<UnansweredRun> unreported_;
-  // First broken run since the backend server was last known to be up.
-  std::optional<Timestamp> first_break_at_;
-  bool probing_ = false;
-  bool probe_again_ = false;  // a run broke while a probe was in progress
-};
-
 // Smoothed measurements of the runs of one route at the local backend server.
 struct RunStats {
   double runs_ = 0.0;          // number of runs in the moving average
@@ -324,61 +292,6 @@
   std::optional<Duration> min_offset_;
 };
 
-// Rate limit that an incarnation of the local backend server has named.
-struct NamedRateLimit {
-  std::optional<double> per_second_;  // nullopt: none is known
-  Timestamp named_at_;                // by the latest response that named it
-  std::optional<double> logged_;      // as of the last log line
-  bool answered_ = false;  // the incarnation has answered this process
-  Pacer pacer_;            // of starts, while there is a limit
-  Timestamp broadcast_at_;
-};
-
-// State of the local backend server, from its heartbeats and responses.
-struct LocalBackend {
-  BackendState state_ = BackendState::kUnknown;
-  std::string instance_;
-  std::string service_;
-  std::int64_t started_at_ms_ = 0;
-  std::uint64_t sequence_ = 0;
-  std::uint32_t slots_ = 0;
-  Timestamp received_at_;  // of the last heartbeat
-  NamedRateLimit rate_limit_;
-  // The incarnation's answers state that it leaves, which is final.
-  bool stated_leaving_ = false;
-};
-
-// A departure of the local backend server, and the version of the list of
-// departures that first contained it.
-struct KnownDeparture {
-  Departure departure_;
-  std::uint64_t version_ = 0;
-};
-
-// A call of the local backend server that is answered as soon as the store
-// keeps a departure.
-struct UnansweredDeparture {
-  std::uint64_t call_id_ = 0;
-  std::uint64_t version_ = 0;  // of the list that must be kept
-  Timestamp received_at_;
-  Timestamp answer_at_;  // at the latest
-};
-
-// Departures of the local backend server, which also bind later processes of
-// this node.
-struct DepartureLog {
-  std::vector<KnownDeparture> known_;  // oldest first
-  std::uint64_t version_ = 0;          // rises with each addition
-  std::uint64_t kept_version_ = 0;     // that the store keeps
-  std::optional<std::uint64_t> saving_version_;
-  bool read_ = false;  // those of earlier processes have been read
-  // They have been read, or reading has failed once. Until then no heartbeat
-  // makes the backend server ready.
-  bool decided_ = false;
-  std::optional<BackendHeartbeat> held_;  // latest one until then
-  std::vector<UnansweredDeparture> unanswered_;
-};
-
 // Demand for one route that arrives at this node.
 struct DemandMeter {
   double per_second_ = 0.0;           // requests of clients
