Links: less memory for large messages that wait

Cause: a body of 30 MB was held up to five times while it was encoded (request, order, message, flat copy, string), and a quarter of the memory could wait to be sent.

Now messages are encoded without the flat copy, what waits is bounded by an eighth of the memory (one message may exceed it, so that any body that was read can be sent), and that is checked before the encoding.

--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -2,6 +2,7 @@
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
+#include <kj/io.h>
 #include <link.capnp.h>
 
 #include <algorithm>
@@ -555,10 +556,25 @@
   return capnp::expectedSizeInWordsFromPrefix(words) * sizeof(capnp::word);
 }
 
+// Appends to a string, without a copy of a whole message in between.
+class StringStream : public kj::OutputStream {
+ public:
+  explicit StringStream(std::size_t size) { text_.reserve(size); }
+
+  void write(const void* bytes, std::size_t size) override {
+    text_.append(static_cast<const char*>(bytes), size);
+  }
+  std::string Take() { return std::move(text_); }
+
+ private:
+  std::string text_;
+};
+
 std::string ToBytes(capnp::MessageBuilder& builder) {
-  const auto words = capnp::messageToFlatArray(builder);
-  const auto bytes = words.asBytes();
-  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+  StringStream stream(capnp::computeSerializedSizeInWords(builder) *
+                      sizeof(capnp::word));
+  capnp::writeMessage(stream, builder);
+  return stream.Take();
 }
 
 // Whether the HTTP message that it contains, if any, can be passed on.
--- a/src/relaylink/peer_links.cc
+++ b/src/relaylink/peer_links.cc
@@ -15,6 +15,18 @@
 // fragments are sent. Other messages wait for no more than that.
 constexpr std::size_t kMaxFragmentsAhead = 128 * 1024;
 
+// Bytes of the bodies and texts in a message, nearly its size if it is large.
+std::size_t BodyBytes(const LinkMessage& message) {
+  if (const auto* order = std::get_if<RunOrder>(&message)) {
+    return order->request_.body_.size();
+  }
+  if (const auto* reply = std::get_if<RunReply>(&message)) {
+    return reply->response_.body_.size();
+  }
+  const auto* table = std::get_if<TableText>(&message);
+  return table == nullptr ? 0 : table->text_.size();
+}
+
 std::uint64_t SendIdOf(const LinkMessage& message) {
   const auto* order = std::get_if<RunOrder>(&message);
   return order == nullptr ? 0 : order->send_id_;
@@ -142,14 +154,18 @@
   if (link.socket_->unsent_bytes() > kMaxUnsentBytes) {
     return Written::kTooMuchUnsent;
   }
+  // Checked before the message is encoded, which takes memory as well. One
+  // message can always be sent.
+  const std::size_t body = BodyBytes(message);
+  const std::size_t queued = body > kMaxFragmentBytes ? queued_bytes() : 0;
+  if (queued > 0 && queued + body > max_queued_bytes_) {
+    return Written::kNoMemory;
+  }
   std::string encoded = EncodeLinkMessage(message);
   if (encoded.size() <= kMaxFragmentBytes) {
     link.socket_->Write(encoded);
     return Written::kYes;
   }
-  if (queued_bytes() + encoded.size() > max_queued_bytes_) {
-    return Written::kNoMemory;
-  }
   link.large_.Push(std::move(encoded), SendIdOf(message));
   SendFragments(link);
   return Written::kYes;
--- a/src/relaylink/peer_links.h
+++ b/src/relaylink/peer_links.h
@@ -33,7 +33,8 @@
     std::function<void(const std::string& peer)> on_unreadable_;
   };
 
-  // `max_queued_bytes`: limit on the large messages that wait to be sent.
+  // `max_queued_bytes`: limit on the large messages that wait to be sent; one
+  // may exceed it.
   PeerLinks(SilenceOptions silence, std::size_t max_queued_bytes,
             Handlers handlers);
   ~PeerLinks() override;
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -142,8 +142,7 @@
                [this](Http1Probe probe) {
                  Feed(BackendProbed{.probe_ = ToBackendProbe(probe)});
                }}),
-      links_(options_.link_silence_, 2 * options_.message_bytes_,
-             LinkHandlers()) {
+      links_(options_.link_silence_, options_.message_bytes_, LinkHandlers()) {
   wake_timer_.setSingleShot(true);
   wake_timer_.setTimerType(Qt::PreciseTimer);
   connect(&wake_timer_, &QTimer::timeout, this, [this] {
