--- a/samples/embedding/main.cc
+++ b/samples/embedding/main.cc
@@ -37,6 +37,8 @@
     return StepRelay(state, options, {now, std::move(body)});
   };
   feed(TableRead{.table_ = OneRoute(), .text_ = "table"});
+  // This program keeps no departures. Heartbeats wait for this answer.
+  feed(DeparturesRead{});
   feed(BackendHeartbeat{.instance_ = "i-1",
                         .service_ = "dispatch",
                         .address_ = options.backend_address_,
