Regions share the backend servers of a service that one of them lacks

Cause: FindSaturatedSlots knows only services with slots in the region. A region without any backend server of a called service admitted all roots; their calls crossed one by one to the full servers of the other region and failed there after the work above them was done. New module allocation/region_plan: the slots of the service are allocated to the demands of all regions together, and what the own region cannot run crosses as a whole call tree. Zone sums between regions carry demand and costs while one of them lacks a service.

--- a/src/relay/internal/demand.cc
+++ b/src/relay/internal/demand.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "allocation/tree_success.h"
+#include "relay/internal/region_sharing.h"
 #include "relay/internal/relay_step.h"
 #include "relay/internal/zone_sums.h"
 
@@ -170,6 +171,12 @@
   return found == state.overflow_.end() ? 0.0 : found->second.share_;
 }
 
+double FindRemoteShare(const RelayState& state, const std::string& route) {
+  const auto found = state.region_sharing_.remote_.find(route);
+  return found == state.region_sharing_.remote_.end() ? 0.0
+                                                      : found->second.share_;
+}
+
 // Logs admitted shares that have changed by 0.1 or more.
 void LogAdmission(RelayStep& step, const std::map<std::string, double>& before,
                   const RegionView& view) {
@@ -187,6 +194,7 @@
                     {"trees_fail",
                      std::int64_t{step.state_.failing_routes_.contains(route)}},
                     {"overflow", FindOverflowShare(step.state_, route)},
+                    {"remote", FindRemoteShare(step.state_, route)},
                     {"demand_per_s", demand == view.demands_.end()
                                          ? 0.0
                                          : demand->second.per_second_}}});
@@ -261,6 +269,7 @@
                          InSeconds(MeanHoldTime(state)) / InSeconds(elapsed);
   state.refused_in_window_ = 0;
   UpdateRetryAllowance(step);
+  TickLackingServices(step);
   TickZoneSums(step);
   RegionView view = BuildRegionView(step);
   // Too few runs are no reliable measurement.
@@ -280,6 +289,7 @@
   state.rejected_shares_ = ComputeRejectedShares(view);
   ReduceFailingTrees(step, view);
   UpdateOverflow(step, view, demands);
+  UpdateRegionSharing(step, view, demands, slots);
   LogAdmission(step, before, view);
   state.profiles_ = std::move(view.profiles_);
 }
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -114,6 +114,23 @@
   return false;
 }
 
+// Draws whether another region runs an admitted request. Returns false if that
+// region is to run all of them and cannot take this one.
+bool ChooseRegion(RelayStep& step, OpenRequest& request) {
+  if (request.is_call_) return true;
+  const auto& remote = step.state_.region_sharing_.remote_;
+  const auto found = remote.find(request.route_);
+  if (found == remote.end()) return true;
+  if (NextUnit(step.state_.random_) >= found->second.share_) return true;
+  request.overflow_region_ = found->second.region_;
+  if (!FindCandidates(step, request).empty()) {
+    ++step.state_.counters_.region_shared_;
+    return true;
+  }
+  request.overflow_region_.clear();
+  return found->second.share_ < 1.0;
+}
+
 }  // namespace
 
 void OnRequest(RelayStep& step, RequestArrived& arrived) {
@@ -171,6 +188,9 @@
       return Refuse(step, request, "not admitted under load");
     }
     ++step.state_.counters_.overflowed_;
+  } else if (!ChooseRegion(step, request)) {
+    ++step.state_.counters_.refused_at_entry_;
+    return Refuse(step, request, "no backend server in any region");
   }
   EarnRetriesForFirstSend(step, request);
   SendOrGiveUp(step, request, "");
--- a/src/relay/internal/entry_answers.cc
+++ b/src/relay/internal/entry_answers.cc
@@ -70,7 +70,8 @@
                                   step.options_.service_);
 }
 
-// Late in the time for which clients wait, as the window of the quota is longer.
+// Late in the time for which clients wait, as the window of the quota is
+// longer.
 Duration RetryAfterOverQuota(RelayStep& step, const RequestArrived& arrived,
                              const RouteRule& route) {
   const Duration left =
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -1,6 +1,7 @@
 #ifndef JUJUBEFRONT_RELAY_INTERNAL_RELAY_STEP_H_
 #define JUJUBEFRONT_RELAY_INTERNAL_RELAY_STEP_H_
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -276,6 +277,12 @@
                   const std::string& parent_trace_id);
 // At the end of a window: updates demand, admission and the retry allowance.
 void TickDemand(RelayStep& step);
+// Services that a region lacks, as far as this node sees: no host there can run
+// requests for them, and one of another region can. Stable since the last tick.
+std::set<std::string> FindLackingServices(const RelayStep& step,
+                                          const std::string& region);
+// Updates what FindLackingServices returns.
+void TickLackingServices(RelayStep& step);
 // Recomputes this node's share of the fleet-wide bound on retries.
 void UpdateRetryAllowance(RelayStep& step);
 
--- a/src/relay/internal/zone_sums.cc
+++ b/src/relay/internal/zone_sums.cc
@@ -192,23 +192,66 @@
   return regions;
 }
 
+// The sum for regions that plan together with this one: with demand and costs,
+// and with the slots that this region would allocate itself.
+ZoneSum PrepareStatement(const RelayStep& step, ZoneSum sum) {
+  sum.arrivals_.clear();
+  for (ServiceLoad& load : sum.services_) {
+    const auto pressure = step.state_.pressure_.find(load.service_);
+    if (pressure == step.state_.pressure_.end()) continue;
+    load.slots_ *= pressure->second.correction_;
+    load.rejected_slots_ *= pressure->second.correction_;
+  }
+  return sum;
+}
+
+void SendToRegions(RelayStep& step, const std::set<std::string>& regions,
+                   const ZoneSum& sum) {
+  for (const auto& [zone, hosts] : TopRankedHostsByZone(
+           step, kReceiversPerZone, step.options_.forget_after_)) {
+    if (!regions.contains(hosts.front()->status_.region_)) continue;
+    SendSum(step, SelectReceiver(hosts, sum), sum);
+  }
+}
+
+// Other regions that plan together with this one, since one of the two lacks a
+// service.
+std::set<std::string> FindSharingRegions(const RelayStep& step) {
+  const bool lacks_here =
+      !FindLackingServices(step, step.options_.region_).empty();
+  std::set<std::string> regions;
+  for (const auto& [address, peer] : step.state_.peers_) {
+    const std::string& region = peer.status_.region_;
+    if (!peer.known_ || region == step.options_.region_) continue;
+    if (regions.contains(region)) continue;
+    if (lacks_here || !FindLackingServices(step, region).empty()) {
+      regions.insert(region);
+    }
+  }
+  return regions;
+}
+
 // Reports the loads of the local zone to regions that lack slots. Links between
 // regions are narrow, so nothing is sent while all regions have free slots.
 void SendToOtherRegions(RelayStep& step, ZoneSum sum) {
   if (!step.options_.overflows_to_other_regions_) return;
   Timestamp& sent_at = step.state_.remote_zone_sums_sent_at_;
-  if (step.now_ - sent_at < step.options_.remote_zone_sum_interval_) return;
+  const std::set<std::string> sharing = FindSharingRegions(step);
+  const Duration interval = sharing.empty()
+                                ? step.options_.remote_zone_sum_interval_
+                                : step.options_.sharing_zone_sum_interval_;
+  if (step.now_ - sent_at < interval) return;
+  if (!sharing.empty()) {
+    sent_at = step.now_;
+    return SendToRegions(step, sharing, PrepareStatement(step, std::move(sum)));
+  }
   const std::set<std::string> saturated = FindSaturatedRegions(step);
   if (saturated.empty()) return;
   sent_at = step.now_;
   sum.profiles_.clear();
   sum.demands_.clear();
   sum.arrivals_.clear();
-  for (const auto& [zone, hosts] : TopRankedHostsByZone(
-           step, kReceiversPerZone, step.options_.forget_after_)) {
-    if (!saturated.contains(hosts.front()->status_.region_)) continue;
-    SendSum(step, SelectReceiver(hosts, sum), sum);
-  }
+  SendToRegions(step, saturated, sum);
 }
 
 }  // namespace
@@ -297,6 +340,30 @@
   return list;
 }
 
+std::vector<RegionStatement> BuildRegionStatements(
+    const RelayStep& step, std::map<std::string, RouteProfile>& profiles) {
+  std::map<std::string, RegionStatement> regions;
+  for (const auto& [zone, known] : step.state_.remote_zone_sums_) {
+    if (step.now_ - known.received_at_ > kRemoteSumTtl) continue;
+    if (known.sum_.demands_.empty() && known.sum_.profiles_.empty()) continue;
+    RegionStatement& region = regions[known.sum_.region_];
+    region.region_ = known.sum_.region_;
+    for (const RouteDemand& demand : known.sum_.demands_) {
+      region.demands_.push_back(demand);
+    }
+    for (const ServiceLoad& load : known.sum_.services_) {
+      region.slots_[load.service_] += load.slots_ - load.rejected_slots_;
+    }
+    for (const RouteProfile& profile : known.sum_.profiles_) {
+      Merge(profiles[profile.route_], profile);
+    }
+  }
+  std::vector<RegionStatement> list;
+  list.reserve(regions.size());
+  for (auto& [name, region] : regions) list.push_back(std::move(region));
+  return list;
+}
+
 void TickZoneSums(RelayStep& step) {
   std::erase_if(step.state_.zone_sums_, [&](const auto& entry) {
     return step.now_ - entry.second.received_at_ > kSumTtl;
--- a/src/relay/internal/zone_sums.h
+++ b/src/relay/internal/zone_sums.h
@@ -28,6 +28,11 @@
 // Loads of the services of each other region, from the sums of its zones.
 std::vector<RemoteRegion> BuildRemoteRegions(const RelayStep& step);
 
+// Demand, costs and slots of each other region whose sums carry them, which is
+// while one of the regions lacks a service. `profiles` receives their costs.
+std::vector<RegionStatement> BuildRegionStatements(
+    const RelayStep& step, std::map<std::string, RouteProfile>& profiles);
+
 // Removes expired sums of other zones. If this node is the aggregator of its
 // zone, sends the local zone's sum to the region's other zones.
 void TickZoneSums(RelayStep& step);
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -14,6 +14,7 @@
 
 #include "allocation/allocation.h"
 #include "allocation/overflow.h"
+#include "allocation/region_plan.h"
 #include "base/hashing.h"
 #include "callgraph/callgraph.h"
 #include "pacing/pacing.h"
@@ -49,6 +50,9 @@
   // Interval of zone sums to other regions, which are sent only there where
   // backend servers seem to be saturated.
   Duration remote_zone_sum_interval_ = std::chrono::seconds(2);
+  // The same while a region lacks backend servers of a service. Admission there
+  // depends on these sums alone, and must follow within a second or two.
+  Duration sharing_zone_sum_interval_ = std::chrono::milliseconds(900);
   // Fleet-wide bound on retries to one service: a fraction of its first sends,
   // plus a number of retries that are free in each window.
   double retry_ratio_ = 0.2;
@@ -304,6 +308,23 @@
   Duration usual_time_left_ = Duration::zero();
 };
 
+// A route's costs, as of when they were last measured in the region.
+struct RememberedProfile {
+  RouteProfile profile_;
+  Timestamp measured_at_;
+};
+
+// Sharing of the backend servers of services that some region lacks.
+struct RegionSharing {
+  // Services that each region lacks, and since when this node sees it.
+  std::map<std::string, std::map<std::string, Timestamp>> lacking_;
+  // Other regions that run a part of the admitted requests, by route.
+  std::map<std::string, RemoteShare> remote_;
+  // Costs of routes from before the region lacked a service: what is not
+  // admitted any more is not measured any more.
+  std::map<std::string, RememberedProfile> profiles_;
+};
+
 // Progress of the calls to the store.
 struct StoreState {
   std::optional<std::uint64_t> next_offset_;
@@ -380,7 +401,8 @@
   std::uint64_t repeats_at_host_ = 0;  // runs repeated after a rejection
   std::uint64_t zone_crossings_ = 0;
   std::uint64_t region_crossings_ = 0;
-  std::uint64_t overflowed_ = 0;  // not admitted, sent to another region
+  std::uint64_t overflowed_ = 0;     // not admitted, sent to another region
+  std::uint64_t region_shared_ = 0;  // admitted, sent to another region
   std::uint64_t runs_ = 0;
   std::uint64_t runs_refused_ = 0;
   std::uint64_t runs_broken_ = 0;
@@ -472,6 +494,7 @@
   std::map<std::string, double> admitted_;  // share by route; absent: all
   // Other regions that run requests which are not admitted, by route.
   std::map<std::string, RouteOverflow> overflow_;
+  RegionSharing region_sharing_;
   // Routes whose call trees seldom complete at present because a service in
   // them rejects much of what arrives.
   std::set<std::string> failing_routes_;
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -76,6 +76,7 @@
   Counter(text, "zone_crossings", counters.zone_crossings_);
   Counter(text, "region_crossings", counters.region_crossings_);
   Counter(text, "overflowed", counters.overflowed_);
+  Counter(text, "region_shared", counters.region_shared_);
   Counter(text, "runs", counters.runs_);
   Counter(text, "runs_refused", counters.runs_refused_);
   Counter(text, "runs_broken", counters.runs_broken_);
