Region sharing: planned requests need no free slots there, floors, estimates

What the common plan admits has slots there already. Until the first sums arrive the other region is estimated from its hosts' statuses.

--- a/src/allocation/region_plan.cc
+++ b/src/allocation/region_plan.cc
@@ -7,6 +7,11 @@
 
 // Smaller shares are dropped.
 constexpr double kMinShare = 0.01;
+// Every route gets this part of what it would get if all were equally
+// important. By priority alone the least important route would get nothing for
+// as long as the service is lacking, and its clients would only come back to be
+// refused.
+constexpr double kFloorShare = 0.35;
 
 using Shares = std::map<std::string, double>;  // by route
 using Slots = std::map<std::string, double>;   // by service
@@ -76,6 +81,34 @@
   return demands;
 }
 
+// Shares of the demands that fit into the slots: a floor for each route, and
+// the rest by priority.
+Shares AllocateWithFloor(const std::map<std::string, RouteProfile>& profiles,
+                         const std::vector<RouteDemand>& demands, Slots slots,
+                         const AllocationOptions& options) {
+  std::vector<RouteDemand> equal = demands;
+  for (RouteDemand& demand : equal) demand.priority_ = 0;
+  Shares floor = Allocate(profiles, equal, slots, options);
+  for (auto& [route, share] : floor) share *= kFloorShare;
+  std::vector<RouteDemand> rest = demands;
+  for (RouteDemand& demand : rest) {
+    const double share = ShareOf(floor, demand.route_);
+    for (const auto& [service, cost] : TreeCost(profiles, demand.route_)) {
+      const auto left = slots.find(service);
+      if (left == slots.end()) continue;
+      left->second -= demand.per_second_ * share * cost / options.utilisation_;
+    }
+    demand.per_second_ *= 1.0 - share;
+  }
+  for (auto& [service, left] : slots) left = std::max(0.0, left);
+  Shares shares = Allocate(profiles, rest, slots, options);
+  for (auto& [route, share] : shares) {
+    const double least = ShareOf(floor, route);
+    share = least + (1.0 - least) * share;
+  }
+  return shares;
+}
+
 // Slots that another region has left besides the part of its own demand that
 // the common plan admits.
 Slots FindSpareSlots(const std::map<std::string, RouteProfile>& profiles,
@@ -157,7 +190,7 @@
     }
   }
   const Shares admitted =
-      Allocate(profiles, SumDemands(own, others), pooled, options);
+      AllocateWithFloor(profiles, SumDemands(own, others), pooled, options);
   std::vector<RouteDemand> claims;
   for (const RouteDemand& demand : own.demands_) {
     if (trees.contains(demand.route_)) claims.push_back(demand);
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -123,11 +123,13 @@
   if (found == remote.end()) return true;
   if (NextUnit(step.state_.random_) >= found->second.share_) return true;
   request.overflow_region_ = found->second.region_;
+  request.is_planned_remote_ = true;
   if (!FindCandidates(step, request).empty()) {
     ++step.state_.counters_.region_shared_;
     return true;
   }
   request.overflow_region_.clear();
+  request.is_planned_remote_ = false;
   return found->second.share_ < 1.0;
 }
 
--- a/src/relay/internal/host_choice.cc
+++ b/src/relay/internal/host_choice.cc
@@ -105,8 +105,9 @@
          .hold_ = HoldTimeAt(peer, request.route_),
          .failure_share_ = DecayedFailureShare(peer.failure_rate_, step.now_),
          .start_wait_ = StartWaitAt(peer, step.now_)});
-    if (overflows && !HasCapacityForRemoteRequests(candidates.back(),
-                                                   step.options_.placement_)) {
+    if (overflows && !request.is_planned_remote_ &&
+        !HasCapacityForRemoteRequests(candidates.back(),
+                                      step.options_.placement_)) {
       candidates.pop_back();
     }
   }
--- a/src/relay/internal/region_sharing.cc
+++ b/src/relay/internal/region_sharing.cc
@@ -12,6 +12,8 @@
 // Cost of a called route that nobody has measured yet. Any positive cost makes
 // the trees count that need a missing service.
 constexpr double kUnmeasuredSlotSeconds = 0.02;
+// Demand for a route that has had no requests, per second.
+constexpr double kUnmeasuredDemand = 0.01;
 // Remembered costs of routes that are not measured any more are removed after
 // this time, unless a region lacks a service.
 constexpr Duration kProfileTtl = std::chrono::seconds(60);
@@ -108,6 +110,20 @@
   }
 }
 
+// Adds routes without measured demand, so that their first requests follow the
+// plan too.
+void AddUnmeasuredDemands(const RelayState& state,
+                          std::vector<RouteDemand>& demands) {
+  std::set<std::string> measured;
+  for (const RouteDemand& demand : demands) measured.insert(demand.route_);
+  for (const RouteRule& route : state.table_.routes_) {
+    if (measured.contains(route.name_)) continue;
+    demands.push_back({.route_ = route.name_,
+                       .priority_ = route.priority_,
+                       .per_second_ = kUnmeasuredDemand});
+  }
+}
+
 // Routes that backend servers call are no demand of their own.
 void RemoveCalledRoutes(const std::map<std::string, RouteProfile>& profiles,
                         std::vector<RouteDemand>& demands) {
@@ -135,6 +151,34 @@
   return own;
 }
 
+// Stands for a region whose sums have not arrived yet: its slots by the
+// statuses of its hosts, and a demand like that of the own region. Nothing
+// would be admitted until the first sums otherwise.
+RegionStatement EstimateStatement(const RelayStep& step,
+                                  const std::string& region,
+                                  const std::vector<RouteDemand>& demands) {
+  RegionStatement estimate{.region_ = region, .demands_ = demands};
+  for (const auto& [address, peer] : step.state_.peers_) {
+    if (peer.status_.region_ != region || !CanRun(step, peer)) continue;
+    estimate.slots_[peer.status_.service_] += UsableSlots(peer.status_);
+  }
+  return estimate;
+}
+
+// Adds an estimate for each other region without a statement.
+void AddEstimates(const RelayStep& step,
+                  const std::vector<RouteDemand>& demands,
+                  std::vector<RegionStatement>& others) {
+  for (const std::string& region : FindKnownRegions(step)) {
+    const bool known = region == step.options_.region_ ||
+                       std::any_of(others.begin(), others.end(),
+                                   [&](const RegionStatement& other) {
+                                     return other.region_ == region;
+                                   });
+    if (!known) others.push_back(EstimateStatement(step, region, demands));
+  }
+}
+
 std::optional<Duration> RoundTripTo(const RelayStep& step,
                                     const std::string& region) {
   std::optional<Duration> longest;
@@ -205,6 +249,7 @@
   std::map<std::string, RouteProfile> remote;
   std::vector<RegionStatement> others = BuildRegionStatements(step, remote);
   RegionStatement own = MakeOwnStatement(step, view, demands);
+  AddEstimates(step, own.demands_, others);
   for (RegionStatement& other : others) {
     other.lacking_ = FindLackingServices(step, other.region_);
   }
@@ -215,6 +260,7 @@
   std::map<std::string, RouteProfile> profiles = CombineProfiles(
       step, view.profiles_, std::move(remote), !own.lacking_.empty());
   AddUnmeasuredRoutes(state, profiles);
+  AddUnmeasuredDemands(state, own.demands_);
   RemoveCalledRoutes(profiles, own.demands_);
   for (RegionStatement& other : others) {
     RemoveCalledRoutes(profiles, other.demands_);
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -154,6 +154,9 @@
   bool may_have_run_ = false;
   // Region whose hosts alone may run it; empty: no restriction.
   std::string overflow_region_;
+  // The regions' common plan has slots for it there. Otherwise it goes only to
+  // hosts with free ones.
+  bool is_planned_remote_ = false;
   std::string_view no_resend_;      // why it was not resent, for the log
   std::vector<std::string> tried_;  // addresses of hosts it was sent to
 };
