Tests: invalid status lines on the path of callers

A status outside 100 to 599, from a backend server, on the reader, the client and the path with real processes. These fail on the present code: InvalidStatusLinesAreMalformed and InvalidStatusLinesAreNoResponses (000 before a valid response is skipped as an interim one), InvalidStatusesReachNoCaller (504 instead of 502 for status 000, which is waited for as if it were interim; its rows 600 to 999 come after). InvalidHealthStatusesAreNotHealthy passes: only 200 counts as healthy.

--- a/src/http1/tests/connection_tests.cc
+++ b/src/http1/tests/connection_tests.cc
@@ -13,6 +13,7 @@
 
 #include "http1/http1_client.h"
 #include "http1/http1_server.h"
+#include "http1/tests/invalid_status_lines.h"
 #include "netio/epoll_dispatcher.h"
 
 namespace jujubefront {
@@ -280,6 +281,7 @@
   CPPUNIT_TEST(ClosedIdleConnectionsAreNotReused);
   CPPUNIT_TEST(UnansweredCallsEndConnectionsThatAreSilentAsLong);
   CPPUNIT_TEST(ProbesReportWhetherAServerListens);
+  CPPUNIT_TEST(InvalidStatusLinesAreNoResponses);
   CPPUNIT_TEST(BackendServerThatSendsWithoutEndHarmsNobodyElse);
   CPPUNIT_TEST(ClientThatSendsWithoutEndHarmsNobodyElse);
   CPPUNIT_TEST(ServerAnswersPipelinedRequestsInOrder);
@@ -614,6 +616,34 @@
     }
   }
 
+  // Guards against a failing server whose status, such as 000 or 999, reaches a
+  // caller: the call has to fail as one that may have run, and its connection
+  // must not be used again.
+  void InvalidStatusLinesAreNoResponses() {
+    EnsureApplication();
+    for (const InvalidStatusLine& line : InvalidStatusLines()) {
+      for (const ServerEnd end : {ServerEnd::kStays, ServerEnd::kCloses}) {
+        ScriptedServer server(InvalidResponse(line), end);
+        int responses = 0;
+        std::optional<Http1Failure> failure;
+        Http1Client client(
+            {}, {.on_response_ = [&](std::uint64_t,
+                                     const Http1Response&) { ++responses; },
+                 .on_failure_ = [&](std::uint64_t,
+                                    Http1Failure how) { failure = how; }});
+        client.SetAddress(server.address());
+        client.Send(1, {.method_ = "GET", .target_ = "/"});
+        CPPUNIT_ASSERT_MESSAGE(
+            line.name_, RunLoopUntil([&] { return failure || responses > 0; }));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(line.name_, 0, responses);
+        CPPUNIT_ASSERT_MESSAGE(line.name_,
+                               *failure == Http1Failure::kMalformed);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(line.name_, std::size_t{0},
+                                     client.open_connections());
+      }
+    }
+  }
+
   void ProbesReportWhetherAServerListens() {
     EnsureApplication();
     for (const bool listens : {true, false}) {
--- a/src/http1/tests/http1_tests.cc
+++ b/src/http1/tests/http1_tests.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "http1/http1_codec.h"
+#include "http1/tests/invalid_status_lines.h"
 
 namespace jujubefront {
 namespace {
@@ -39,6 +40,7 @@
   CPPUNIT_TEST(ReadsRequests);
   CPPUNIT_TEST(ReadsRequestsInAnyPieces);
   CPPUNIT_TEST(ReadsResponses);
+  CPPUNIT_TEST(InvalidStatusLinesAreMalformed);
   CPPUNIT_TEST(KeepsWhatFollowsAMessage);
   CPPUNIT_TEST(RemovesHeadersOfOneConnection);
   CPPUNIT_TEST(WritesWhatItReads);
@@ -157,6 +159,36 @@
     }
   }
 
+  // Guards against an invalid status that is taken for the final one, or for an
+  // interim one (000 to 099) before a valid response. It is refused as soon as
+  // the header is complete, however the bytes arrive.
+  void InvalidStatusLinesAreMalformed() {
+    for (const InvalidStatusLine& line : InvalidStatusLines()) {
+      const std::string bytes = InvalidResponse(line);
+      for (const std::size_t piece : {std::size_t{1}, bytes.size()}) {
+        Http1ResponseReader reader(kLimits, false);
+        std::string inbox;
+        Http1Progress progress;
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+          inbox += bytes.substr(at, piece);
+          progress = reader.Read(inbox);
+          inbox.erase(0, progress.consumed_);
+          if (progress.complete_ || progress.fault_ != Http1Fault::kNone) break;
+        }
+        CPPUNIT_ASSERT_MESSAGE(line.name_, !progress.complete_);
+        CPPUNIT_ASSERT_MESSAGE(line.name_,
+                               progress.fault_ == Http1Fault::kMalformed);
+      }
+    }
+    // The limits of the valid range, and an interim response.
+    for (const char* status : {"100", "199", "200", "599"}) {
+      Http1ResponseReader reader(kLimits, false);
+      const auto progress = reader.Read(std::string("HTTP/1.1 ") + status +
+                                        " X\r\n\r\nHTTP/1.1 204 X\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(status, progress.fault_ == Http1Fault::kNone);
+    }
+  }
+
   // Bytes of a second response or of a pipelined request are not consumed.
   void KeepsWhatFollowsAMessage() {
     const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
--- a/standins/platform/backend_standin.cc
+++ b/standins/platform/backend_standin.cc
@@ -183,7 +183,7 @@
 Http1Response BackendStandin::AnswerHealthCheck() {
   ++health_checks_;
   const bool leaves = draining_ || leaves_ || states_leaving_;
-  Http1Response answer{.status_ = leaves ? 503 : 200};
+  Http1Response answer{.status_ = answer_status_.value_or(leaves ? 503 : 200)};
   if (names_instance_) {
     answer.headers_.emplace_back("X-Instance-Id", options_.instance_);
   }
@@ -192,7 +192,7 @@
 }
 
 void BackendStandin::Answer(std::uint64_t id, const std::string& trace) {
-  Http1Response answer{.status_ = 200,
+  Http1Response answer{.status_ = answer_status_.value_or(200),
                        .headers_ = {{"X-Request-Id", trace},
                                     {"X-Server-Stamp", options_.instance_},
                                     {"X-Server-Load", "1,0,16"}},
--- a/standins/platform/backend_standin.h
+++ b/standins/platform/backend_standin.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "http1/http1_client.h"
@@ -62,6 +63,9 @@
   void SetBodyBytes(std::size_t bytes) { body_bytes_ = bytes; }
   // Rejects all requests with this status without running them; 0 stops that.
   void RejectWith(int status) { reject_status_ = status; }
+  // Runs each request, then answers with this status, also to health checks;
+  // nullopt: 200.
+  void AnswerWith(std::optional<int> status) { answer_status_ = status; }
   // Runs each request, then closes its connection instead of answering.
   void LoseAnswers(bool lose) { lose_answers_ = lose; }
   // From now on the answers name this rate limit; nullopt: none.
@@ -113,6 +117,7 @@
   bool draining_ = false;
   bool leaves_ = false;  // a leave call was made
   int reject_status_ = 0;
+  std::optional<int> answer_status_;
   std::size_t body_bytes_ = 600;
   bool lose_answers_ = false;
   bool names_instance_ = true;
--- a/standins/platform/path_tests.cc
+++ b/standins/platform/path_tests.cc
@@ -63,6 +63,8 @@
   CPPUNIT_TEST(LeavingOutlivesRestarts);
   CPPUNIT_TEST(RestartsDoNotKeepBackendServersWaiting);
   CPPUNIT_TEST(ReportsFailuresOfBackendServers);
+  CPPUNIT_TEST(InvalidStatusesReachNoCaller);
+  CPPUNIT_TEST(InvalidHealthStatusesAreNotHealthy);
   CPPUNIT_TEST(AppliesDocumentsDespiteStoreOutages);
   CPPUNIT_TEST(SurvivesKilledAndPausedPeers);
   CPPUNIT_TEST(CrashingContentIsRefusedOnAllHosts);
@@ -405,6 +407,69 @@
     }
   }
 
+  // Guards against a failing backend server whose invalid status is forwarded
+  // as an answer. The request may have run, so one that is not idempotent is
+  // not sent again.
+  void InvalidStatusesReachNoCaller() {
+    struct Row {
+      const char* target_;
+      int min_runs_;
+      int max_runs_;
+    };
+    const Row rows[] = {{"/read/1", 1, 2}, {"/book/1", 1, 1}};
+    Deployment deployment;
+    for (const int status : {0, 1, 99, 600, 700, 999}) {
+      for (const Row& row : rows) {
+        const std::string id = std::to_string(status) + row.target_;
+        for (SidecarHost& host : deployment.hosts_.hosts()) {
+          host.backend_->AnswerWith(status);
+        }
+        const Http1Response answer =
+            Fetch(deployment.host(0).clients(), Client(id, row.target_));
+        // A status below 100 looks like an interim response until the caller's
+        // time is up, if it is not refused.
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 502, answer.status_);
+        const int runs = Runs(deployment.hosts_, id);
+        CPPUNIT_ASSERT_MESSAGE(id, runs >= row.min_runs_);
+        CPPUNIT_ASSERT_MESSAGE(id, runs <= row.max_runs_);
+        // Both hosts serve again, so that the next row finds both.
+        for (SidecarHost& host : deployment.hosts_.hosts()) {
+          host.backend_->AnswerWith(std::nullopt);
+          CPPUNIT_ASSERT_MESSAGE(id, WaitUntil(std::chrono::seconds(5), [&] {
+                                   return Fetch(host.clients(),
+                                                Client("w" + id, "/read/1"))
+                                              .status_ == 200;
+                                 }));
+        }
+      }
+    }
+  }
+
+  // Guards against a late heartbeat that is believed because the health check
+  // was answered with an invalid status: the answer names the instance, but
+  // says nothing about its health.
+  void InvalidHealthStatusesAreNotHealthy() {
+    // A valid answer is acted upon within less, as the test above on restarts
+    // shows.
+    constexpr Duration kUnusedFor = std::chrono::milliseconds(1800);
+    for (const int status : {0, 99, 600, 999}) {
+      Deployment deployment;
+      BackendStandin& backend = *deployment.host(0).backend_;
+      WaitUntil(kFirstRecord, [] { return false; });
+      backend.AnswerWith(status);
+      Restart(deployment, 1);
+      const std::size_t runs = backend.runs().size();
+      WaitUntil(kUnusedFor, [] { return false; });
+      for (int i = 0; i < 10; ++i) {
+        Fetch(deployment.host(0).clients(),
+              Client("h" + std::to_string(i), "/read/1"));
+      }
+      const std::string name = std::to_string(status);
+      CPPUNIT_ASSERT_MESSAGE(name, backend.health_checks() >= 1);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, runs, backend.runs().size());
+    }
+  }
+
   void AppliesDocumentsDespiteStoreOutages() {
     Deployment deployment;
     const auto served = [&](const char* target) {
