http1: a response with a status outside 100 to 599 is malformed

Cause: Beast accepts any three digits. The reader took 000 to 099 for interim responses, and waited for or delivered what came after; 600 to 999 reached the caller as an answer. Now the reader reports kMalformed as soon as the header is complete, so that a run counts as broken: 502, or another attempt if it is idempotent.

--- a/src/http1/http1_codec.cc
+++ b/src/http1/http1_codec.cc
@@ -138,8 +138,25 @@
 // Beast throws std::length_error for a longer name or value of a field.
 constexpr std::size_t kMaxFieldBytes =
     std::numeric_limits<std::uint16_t>::max() - 2;
+// Range of valid status codes (RFC 9110, 15).
 constexpr int kMinStatus = 100;
-constexpr int kMaxStatus = 999;
+constexpr int kMaxStatus = 599;
+constexpr int kMinFinalStatus = 200;
+// Beast throws an exception for a larger one.
+constexpr int kMaxWritableStatus = 999;
+
+bool IsStatus(int status) {
+  return status >= kMinStatus && status <= kMaxStatus;
+}
+
+// Beast accepts any three digits as a status.
+template <typename ParserType>
+void CheckStatus(Http1Progress& progress, const ParserType& parser) {
+  if (progress.fault_ != Http1Fault::kNone || !parser.is_header_done()) return;
+  if (IsStatus(static_cast<int>(parser.get().result_int()))) return;
+  progress.complete_ = false;
+  progress.fault_ = Http1Fault::kMalformed;
+}
 
 bool AreWritable(const HeaderList& headers) {
   return std::all_of(headers.begin(), headers.end(), [](const auto& header) {
@@ -149,7 +166,7 @@
 }
 
 bool ResponseHasNoBody(int status) {
-  return status < 200 || status == 204 || status == 304;
+  return status < kMinFinalStatus || status == 204 || status == 304;
 }
 
 }  // namespace
@@ -266,9 +283,11 @@
 
 Http1Progress Http1ResponseReader::Read(std::string_view bytes) {
   Http1Progress progress = Feed(parser_->parser_, bytes);
+  CheckStatus(progress, parser_->parser_);
   if (!bytes.empty()) parser_->started_ = true;
   // Skips interim responses (1xx), which precede the final one.
-  while (progress.complete_ && parser_->parser_.get().result_int() < 200) {
+  while (progress.complete_ && !IsFinalStatus(static_cast<int>(
+                                   parser_->parser_.get().result_int()))) {
     if (++interim_ > limits_.max_interim_responses_) {
       progress.complete_ = false;
       progress.fault_ = Http1Fault::kMalformed;
@@ -281,6 +300,7 @@
     progress = {.consumed_ = progress.consumed_ + next.consumed_,
                 .complete_ = next.complete_,
                 .fault_ = next.fault_};
+    CheckStatus(progress, parser_->parser_);
   }
   CheckBounds(progress, bytes.size(), limits_, *parser_);
   return progress;
@@ -356,10 +376,15 @@
 }
 
 bool IsWritable(const Http1Response& response) {
-  return response.status_ >= kMinStatus && response.status_ <= kMaxStatus &&
+  return response.status_ >= kMinStatus &&
+         response.status_ <= kMaxWritableStatus &&
          AreWritable(response.headers_);
 }
 
+bool IsFinalStatus(int status) {
+  return IsStatus(status) && status >= kMinFinalStatus;
+}
+
 void RemoveConnectionHeaders(HeaderList& headers) {
   static const std::array<std::string_view, 9> kConnectionHeaders = {
       "connection", "keep-alive", "proxy-connection",
--- a/src/http1/http1_codec.h
+++ b/src/http1/http1_codec.h
@@ -76,6 +76,10 @@
 bool IsWritable(const Http1Request& request);
 bool IsWritable(const Http1Response& response);
 
+// Whether a response with this status (200 to 599) ends a request. Others are
+// interim (100 to 199) or invalid.
+bool IsFinalStatus(int status);
+
 // Removes the hop-by-hop headers (RFC 9110, 7.6.1) and Content-Length, which is
 // set again when the message is serialized.
 void RemoveConnectionHeaders(HeaderList& headers);
