Tests: invalid statuses in replies between relays

InvalidStatusesAreNoAnswers fails on the present code at status 100: replies with statuses of 100 to 199 and 600 to 999 are decoded as answers, which the entry would forward to its caller.

--- a/src/relaylink/tests/relaylink_tests.cc
+++ b/src/relaylink/tests/relaylink_tests.cc
@@ -86,6 +86,7 @@
   CPPUNIT_TEST(WaitsForWholeMessages);
   CPPUNIT_TEST(SurvivesAnyBytes);
   CPPUNIT_TEST(MessagesThatHttpCannotWriteAreMalformed);
+  CPPUNIT_TEST(InvalidStatusesAreNoAnswers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -171,6 +172,48 @@
       }
     }
   }
+
+  // A process of an earlier version forwards statuses of 600 to 999 of its
+  // backend server. They must not reach the caller, and the connection, which
+  // carries other replies too, must not be closed for them. The run may have
+  // run, so the reply says that it broke.
+  void InvalidStatusesAreNoAnswers() {
+    struct Row {
+      int status_;
+      bool answered_;
+      bool malformed_;
+    };
+    // An earlier version never sends those that are malformed.
+    const Row rows[] = {
+        {0, false, true},    {1, false, true},    {99, false, true},
+        {100, false, false}, {101, false, false}, {199, false, false},
+        {200, true, false},  {599, true, false},  {600, false, false},
+        {700, false, false}, {999, false, false}, {1000, false, true},
+        {70000, false, true}};
+    for (const Row& row : rows) {
+      const std::string name = std::to_string(row.status_);
+      RunReply reply{.send_id_ = 7,
+                     .outcome_ = RunOutcome::kAnswered,
+                     .running_ = 3,
+                     .calls_failed_ = true};
+      reply.response_ = {
+          .status_ = row.status_, .headers_ = {{"A", "b"}}, .body_ = "body"};
+      const LinkDecodeResult decoded =
+          DecodeLinkMessage(EncodeLinkMessage(reply));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, row.malformed_, decoded.malformed_);
+      if (row.malformed_) continue;
+      const auto& read = std::get<RunReply>(*decoded.message_);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, row.answered_,
+                                   read.outcome_ == RunOutcome::kAnswered);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, row.answered_ ? row.status_ : 0,
+                                   read.response_.status_);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::uint64_t{7}, read.send_id_);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::uint32_t{3}, read.running_);
+      if (row.answered_) continue;
+      CPPUNIT_ASSERT_MESSAGE(name, read.outcome_ == RunOutcome::kBroken);
+      CPPUNIT_ASSERT_MESSAGE(name, read.response_.body_.empty());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelaylinkTests);
