relaylink: a reply with an invalid status is that of a broken run

Cause: the codec took every status that HTTP can write for an answer. A process of an earlier version forwards statuses of 600 to 999 of its backend server; no version sends 100 to 199 as the final one. Such a reply is now decoded as kBroken without its response: 502, or another attempt if idempotent. It isn't rejected as malformed, since that closes the connection and breaks the other runs at the host. What HTTP cannot write (below 100, above 999) stays malformed; no version sends it.

--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -583,6 +583,19 @@
   return stream.Take();
 }
 
+// A process of an earlier version forwards statuses of 600 to 999. Such a reply
+// is that of a run that broke. To reject it as malformed would close the
+// connection, and with it break the other runs at that host.
+void DropInvalidAnswer(LinkMessage& message) {
+  auto* reply = std::get_if<RunReply>(&message);
+  if (reply == nullptr || reply->outcome_ != RunOutcome::kAnswered ||
+      IsFinalStatus(reply->response_.status_)) {
+    return;
+  }
+  reply->outcome_ = RunOutcome::kBroken;
+  reply->response_ = {.status_ = 0};
+}
+
 // Whether the HTTP message that it contains, if any, can be passed on.
 bool IsUsable(const LinkMessage& message) {
   if (const auto* order = std::get_if<RunOrder>(&message)) {
@@ -646,6 +659,7 @@
   if (decoded.message_ && !IsUsable(*decoded.message_)) {
     decoded.message_.reset();
   }
+  if (decoded.message_) DropInvalidAnswer(*decoded.message_);
   if (!decoded.message_) decoded.malformed_ = true;
   return decoded;
 }
