relay: why a host cannot take a request, as a value

FindExclusion gives the reason in place of CanTakeRequest's yes or no, and FindCandidates works on a RelayView (const state, options, time), so that an explanation can use the conditions of the choice without a step. No change of behaviour: relay_tests pass.

--- a/src/relay/internal/host_choice.cc
+++ b/src/relay/internal/host_choice.cc
@@ -1,9 +1,8 @@
+#include "relay/internal/host_choice.h"
+
 #include <algorithm>
 #include <cmath>
 
-#include "placement/placement.h"
-#include "relay/internal/relay_step.h"
-
 namespace jujubefront {
 namespace {
 
@@ -57,20 +56,23 @@
   }
 }
 
-// Whether a host is reachable and ready and has not been tried yet.
-bool CanTakeRequest(const RelayStep& step, const Peer& peer,
-                    const OpenRequest& request) {
+}  // namespace
+
+HostExclusion FindExclusion(const RelayView& view, const Peer& peer,
+                            const OpenRequest& request) {
   const HostStatus& status = peer.status_;
-  if (status.leaving_) return false;
-  if (status.backend_ != BackendState::kReady) return false;
-  const bool is_local = peer.address_ == step.options_.address_;
-  if (!is_local && (!peer.connected_ || peer.suspected_)) return false;
-  return std::find(request.tried_.begin(), request.tried_.end(),
-                   peer.address_) == request.tried_.end();
+  if (status.leaving_) return HostExclusion::kLeaving;
+  if (status.backend_ != BackendState::kReady) {
+    return HostExclusion::kBackendNotReady;
+  }
+  const bool is_local = peer.address_ == view.options_.address_;
+  if (!is_local && !peer.connected_) return HostExclusion::kNotConnected;
+  if (!is_local && peer.suspected_) return HostExclusion::kSuspected;
+  const bool tried = std::find(request.tried_.begin(), request.tried_.end(),
+                               peer.address_) != request.tried_.end();
+  return tried ? HostExclusion::kTried : HostExclusion::kNone;
 }
 
-}  // namespace
-
 void RecordRunOutcome(RelayStep& step, Peer& peer, bool failed) {
   const double now_share = DecayedFailureShare(peer.failure_rate_, step.now_);
   peer.failure_rate_ = {.failure_share_ = now_share * (1.0 - kFailureWeight) +
@@ -81,7 +83,7 @@
 namespace {
 
 // Candidates for a request; avoided hosts only if `with_avoided`.
-std::vector<PlacementCandidate> FindCandidatesAmong(RelayStep& step,
+std::vector<PlacementCandidate> FindCandidatesAmong(const RelayView& step,
                                                     const OpenRequest& request,
                                                     bool with_avoided) {
   std::vector<PlacementCandidate> candidates;
@@ -90,7 +92,7 @@
   for (const auto& [address, host] : hosts->second) {
     const Peer& peer = *host;
     if (peer.avoided_ && !with_avoided) continue;
-    if (!CanTakeRequest(step, peer, request)) continue;
+    if (FindExclusion(step, peer, request) != HostExclusion::kNone) continue;
     const HostStatus& status = peer.status_;
     const bool overflows = !request.overflow_region_.empty();
     if (overflows && status.region_ != request.overflow_region_) continue;
@@ -119,7 +121,7 @@
 // Avoided hosts are skipped while another host is left. They are also skipped
 // when this node is cut off: a request that is not sent is known not to have
 // run.
-std::vector<PlacementCandidate> FindCandidates(RelayStep& step,
+std::vector<PlacementCandidate> FindCandidates(const RelayView& step,
                                                const OpenRequest& request) {
   std::vector<PlacementCandidate> candidates =
       FindCandidatesAmong(step, request, false);
@@ -127,4 +129,12 @@
   return FindCandidatesAmong(step, request, true);
 }
 
+std::vector<PlacementCandidate> FindCandidates(RelayStep& step,
+                                               const OpenRequest& request) {
+  return FindCandidates(
+      RelayView{
+          .state_ = step.state_, .options_ = step.options_, .now_ = step.now_},
+      request);
+}
+
 }  // namespace jujubefront
