sidecar: GET /explain at the metrics address

Answers with the explanation as JSON: at most 4 services of 24 hosts each, names of 64 bytes, under 512 KB (SizeIsBounded, with bytes that JSON escapes). The key of a workspace is taken from the header in which clients send it, hashed as theirs, and in neither the answer nor the log.

--- a/apps/sidecar/main.cc
+++ b/apps/sidecar/main.cc
@@ -64,7 +64,11 @@
             {.feed_ =
                  [this](RelayEventBody body) { shell_.Feed(std::move(body)); },
              .ready_ = [this] { return shell_.ready(); },
-             .metrics_ = [this] { return shell_.Metrics(); }},
+             .metrics_ = [this] { return shell_.Metrics(); },
+             .explain_ =
+                 [this](const PlacementQuery& query) {
+                   return shell_.Explain(query);
+                 }},
             kLinkSilence) {
     shell_.SetStore(store_.Interface());
     shell_.SetBackendAnswers([this](const AnswerBackend& answer) {
--- a/src/relay/explanation.h
+++ b/src/relay/explanation.h
@@ -103,7 +103,7 @@
 
 // Bounds of an explanation.
 inline constexpr std::size_t kMaxExplainedServices = 4;
-inline constexpr std::size_t kMaxExplainedHosts = 32;
+inline constexpr std::size_t kMaxExplainedHosts = 24;
 
 // Explains where a client's request would be sent and why. Changes nothing.
 // The contents of requests, which may be suspect, are not taken into account.
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -2,6 +2,8 @@
 
 #include <ctime>
 
+#include "sidecar/explanation_json.h"
+
 namespace jujubefront {
 namespace {
 
@@ -332,4 +334,9 @@
 
 std::string RelayShell::Metrics() const { return metrics_.Render(state_); }
 
+std::string RelayShell::Explain(const PlacementQuery& query) const {
+  return RenderExplanation(
+      ExplainPlacement(state_, options_.relay_, Now(), query));
+}
+
 }  // namespace jujubefront
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -11,6 +11,7 @@
 
 #include "http1/http1_client.h"
 #include "http1/http1_server.h"
+#include "relay/explanation.h"
 #include "relay/relay.h"
 #include "relaylink/peer_links.h"
 #include "sidecar/decision_log.h"
@@ -123,6 +124,8 @@
 
   bool ready() const { return ready_; }
   std::string Metrics() const;
+  // Explains as JSON where a request would be sent now. Changes nothing.
+  std::string Explain(const PlacementQuery& query) const;
 
  private:
   struct EffectRunner;
--- a/standins/platform/path_tests.cc
+++ b/standins/platform/path_tests.cc
@@ -2,6 +2,11 @@
 #include <signal.h>
 
 #include <QCoreApplication>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <fstream>
+#include <sstream>
 
 #include "base/tests/run_tests.h"
 #include "http1/http1_codec.h"
@@ -70,6 +75,7 @@
   CPPUNIT_TEST(CrashingContentIsRefusedOnAllHosts);
   CPPUNIT_TEST(OddEntriesHarmNobody);
   CPPUNIT_TEST(DocumentsWrittenBetweenTwoPagesAreRead);
+  CPPUNIT_TEST(ExplanationsSendNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -281,6 +287,95 @@
     }));
   }
 
+  // Guards against an explanation that is itself a request: no backend server
+  // gets one, and no counter of requests, sends, runs or quotas moves. Also
+  // against the key of a workspace in an answer or in the log.
+  void ExplanationsSendNothing() {
+    const std::string key = "secret-key-of-a-workspace";
+    Deployment deployment;
+    SidecarHost& host = deployment.host(0);
+    const auto explain = [&](const std::string& query) {
+      return Fetch(host.metrics(),
+                   {.method_ = "GET",
+                    .target_ = "/explain" + query,
+                    .headers_ = {{"Authorization", "Bearer " + key}}});
+    };
+    const auto counters = [&] {
+      std::string kept;
+      const std::string metrics =
+          Fetch(host.metrics(), {.method_ = "GET", .target_ = "/metrics"})
+              .body_;
+      std::istringstream lines(metrics);
+      for (std::string line; std::getline(lines, line);) {
+        for (const char* name :
+             {"requests", "calls", "answered", "refused", "refused_at_entry",
+              "failed", "unrouted", "over_quota", "key_rejected", "sends",
+              "resends", "runs", "backend_probes", "health_checks",
+              "inputs_unreadable"}) {
+          if (line.starts_with("jujubefront_relay_" + std::string(name) +
+                               "_total ")) {
+            kept += line + "\n";
+          }
+        }
+      }
+      return kept;
+    };
+    const auto runs = [&] {
+      std::size_t count = 0;
+      for (const SidecarHost& each : deployment.hosts_.hosts()) {
+        count += each.backend_->runs().size() +
+                 static_cast<std::size_t>(each.backend_->health_checks());
+      }
+      return count;
+    };
+    const auto hosts = [](const Http1Response& answer) {
+      return QJsonDocument::fromJson(QByteArray::fromStdString(answer.body_))
+          .object()["placement"][0]["hosts"]
+          .toArray()
+          .size();
+    };
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(5), [&] {
+      return hosts(explain("?host=test.example&path=/read/1")) == 2;
+    }));
+    const std::string counters_before = counters();
+    CPPUNIT_ASSERT(counters_before.find("_sends_total") != std::string::npos);
+    const std::size_t runs_before = runs();
+    struct Row {
+      const char* query_;
+      int http_status_;
+      int status_;
+      qsizetype hosts_;
+    };
+    const Row rows[] = {
+        {"?host=test.example&path=/read/1%3Fa%3Db", 200, 0, 2},
+        {"?host=test.example&path=/book/1&workspace=gates", 200, 0, 2},
+        {"?host=other.example&path=/read/1", 200, 404, 0},
+        {"?host=test.example&path=/none/", 200, 404, 0},
+        {"?host=test.example", 400, 0, 0},
+        {"", 400, 0, 0}};
+    for (int i = 0; i < 10; ++i) {
+      for (const Row& row : rows) {
+        const Http1Response answer = explain(row.query_);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.query_, row.http_status_,
+                                     answer.status_);
+        CPPUNIT_ASSERT(answer.body_.find(key) == std::string::npos);
+        const QJsonObject fields =
+            QJsonDocument::fromJson(QByteArray::fromStdString(answer.body_))
+                .object();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.query_, row.status_,
+                                     fields["status"].toInt());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.query_, row.hosts_, hosts(answer));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(counters_before, counters());
+    CPPUNIT_ASSERT_EQUAL(runs_before, runs());
+    std::ifstream log(deployment.hosts_.folder() + "/" + host.ip_ + ".log");
+    std::ostringstream text;
+    text << log.rdbuf();
+    CPPUNIT_ASSERT(!text.str().empty());
+    CPPUNIT_ASSERT(text.str().find(key) == std::string::npos);
+  }
+
   // An acknowledged leaving binds all processes that start later: a heartbeat
   // that was sent before, and arrives late, must not bring requests back.
   void LeavingOutlivesRestarts() {
