--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -2,6 +2,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 #include <thread>
@@ -11,6 +12,7 @@
 #include "membership/membership_types.h"
 #include "netio/application.h"
 #include "operations/control_client.h"
+#include "operations/placement_text.h"
 #include "operations/publish.h"
 #include "operations/tables.h"
 #include "operations/text_diff.h"
@@ -145,6 +147,39 @@
                   "/explain?key=" + arguments["argument"].as<std::string>());
 }
 
+// A longer key would not fit into a header.
+constexpr std::size_t kMaxKeyBytes = 4096;
+
+// Reads the key of a workspace from a file: as an argument it would be in the
+// list of processes. Empty: there is no such option.
+boost::leaf::result<std::string> ReadKeyFile(const Arguments& arguments) {
+  if (arguments.count("key-file") == 0) return std::string();
+  const auto path = arguments["key-file"].as<std::string>();
+  std::ifstream file(path);
+  std::string key;
+  if (!(file >> std::setw(kMaxKeyBytes) >> key)) {
+    return boost::leaf::new_error(FileUnreadable{path});
+  }
+  return key;
+}
+
+CommandResult PrintPlacement(const Arguments& arguments) {
+  BOOST_LEAF_AUTO(key, ReadKeyFile(arguments));
+  const auto address = arguments["metrics"].as<std::string>();
+  PlacementRequestNames request{.host_ = arguments["host"].as<std::string>(),
+                                .path_ = arguments["path"].as<std::string>()};
+  if (arguments.count("workspace") > 0) {
+    request.workspace_ = arguments["workspace"].as<std::string>();
+  }
+  BOOST_LEAF_AUTO(
+      page, FetchPage(address, PlacementTarget(request), kPageTimeout, key));
+  const auto text = FormatPlacement(page);
+  // Earlier versions answer every request with their metrics.
+  if (!text) return boost::leaf::new_error(ControlUnreachable{address});
+  std::cout << (arguments.count("json") > 0 ? page + "\n" : *text);
+  return 0;
+}
+
 CommandResult Report(const Arguments& arguments) {
   BOOST_LEAF_AUTO(log, ReadRelayLog(arguments["argument"].as<std::string>()));
   std::cout << DrawReport(MakeReport(log));
@@ -183,6 +218,7 @@
       {"top", Top, {"node"}},
       {"drain", Drain, {"node"}},
       {"explain", Explain, {"argument"}},
+      {"placement", PrintPlacement, {"metrics", "host", "path"}},
       {"report", Report, {"argument"}},
       {"verify", Verify, {"argument"}}};
   return kCommands;
@@ -201,6 +237,14 @@
       "base", "version that the edit is based on", cxxopts::value<LogOffset>())(
       "incarnation", "incarnation of a target", cxxopts::value<Incarnation>())(
       "logs", "file or folder of relays' logs", cxxopts::value<std::string>())(
+      "metrics", "IP:port of a sidecar's metrics",
+      cxxopts::value<std::string>())("host", "host of a request",
+                                     cxxopts::value<std::string>())(
+      "path", "path of a request", cxxopts::value<std::string>())(
+      "workspace", "workspace of a request, by name",
+      cxxopts::value<std::string>())(
+      "key-file", "file with the key of a request's workspace",
+      cxxopts::value<std::string>())(
       "retry-ratio", "retries of a service per request, over all hosts",
       cxxopts::value<double>()->default_value("0.2"))(
       "retry-slack", "retries of a service beyond that in 10 s",
@@ -295,6 +339,9 @@
     "all\n"
     "                hosts of the platform, by their logs (--logs); there\n"
     "                also of a content, by its fingerprint\n"
+    "  placement     where a sidecar (--metrics) would send a request (--host, "
+    "--path)\n"
+    "                now and why; --workspace NAME or --key-file FILE, --json\n"
     "  report LOGS   draws goodput, refusals and load over time as SVG\n"
     "  verify LOGS   checks relays' logs for violated guarantees\n\n"
     "Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable, 4 not confirmed";
--- a/src/operations/control_client.cc
+++ b/src/operations/control_client.cc
@@ -40,11 +40,14 @@
 
 boost::leaf::result<std::string> FetchPage(const std::string& address,
                                            const std::string& path,
-                                           Duration timeout) {
-  return Transfer(
-      address,
-      {.method_ = "GET", .target_ = path, .headers_ = {{"Host", address}}},
-      timeout);
+                                           Duration timeout,
+                                           const std::string& key) {
+  Http1Request request{
+      .method_ = "GET", .target_ = path, .headers_ = {{"Host", address}}};
+  if (!key.empty()) {
+    request.headers_.emplace_back("Authorization", "Bearer " + key);
+  }
+  return Transfer(address, request, timeout);
 }
 
 boost::leaf::result<std::string> PostPage(const std::string& address,
--- a/src/operations/control_client.h
+++ b/src/operations/control_client.h
@@ -9,11 +9,13 @@
 
 namespace jujubefront {
 
-// Sends GET to a node's control address and returns the body.
+// Sends GET to a node's control address and returns the body. `key`: sent as a
+// bearer token, as clients send theirs; empty: none.
 // Errors: ControlUnreachable.
 boost::leaf::result<std::string> FetchPage(const std::string& address,
                                            const std::string& path,
-                                           Duration timeout);
+                                           Duration timeout,
+                                           const std::string& key = "");
 
 // Sends POST to a node's control address and returns the body.
 // Errors: ControlUnreachable.
--- a/standins/platform/path_tests.cc
+++ b/standins/platform/path_tests.cc
@@ -2,6 +2,7 @@
 #include <signal.h>
 
 #include <QCoreApplication>
+#include <QFileInfo>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -367,6 +368,22 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(row.query_, row.hosts_, hosts(answer));
       }
     }
+    // The same by the operators' tool, with the key from a file.
+    const std::string key_file = deployment.hosts_.folder() + "/key";
+    std::ofstream(key_file) << key << "\n";
+    const QFileInfo sidecar(QString::fromStdString(sidecar_program));
+    QProcess tool;
+    tool.start(
+        sidecar.absolutePath() + "/../ctl/jujubefront-ctl",
+        {"placement", "--metrics", QString::fromStdString(host.metrics()),
+         "--host", "test.example", "--path", "/read/1", "--key-file",
+         QString::fromStdString(key_file)});
+    CPPUNIT_ASSERT(tool.waitForFinished(10'000));
+    CPPUNIT_ASSERT_EQUAL(0, tool.exitCode());
+    const std::string shown = tool.readAllStandardOutput().toStdString();
+    for (const SidecarHost& each : deployment.hosts_.hosts()) {
+      CPPUNIT_ASSERT_MESSAGE(shown, shown.find(each.ip_) != std::string::npos);
+    }
     CPPUNIT_ASSERT_EQUAL(counters_before, counters());
     CPPUNIT_ASSERT_EQUAL(runs_before, runs());
     std::ifstream log(deployment.hosts_.folder() + "/" + host.ip_ + ".log");
