--- a/standins/platform/path_tests.cc
+++ b/standins/platform/path_tests.cc
@@ -61,6 +61,42 @@
   SidecarHosts hosts_;
 };
 
+// Counters of a relay that a request or a check of its own would move.
+std::string RequestCounters(const std::string& metrics_address) {
+  std::string kept;
+  std::istringstream lines(
+      Fetch(metrics_address, {.method_ = "GET", .target_ = "/metrics"}).body_);
+  for (std::string line; std::getline(lines, line);) {
+    for (const char* name :
+         {"requests", "calls", "answered", "refused", "refused_at_entry",
+          "failed", "unrouted", "over_quota", "key_rejected", "sends",
+          "resends", "runs", "backend_probes", "health_checks",
+          "inputs_unreadable"}) {
+      if (line.starts_with("jujubefront_relay_" + std::string(name) +
+                           "_total ")) {
+        kept += line + "\n";
+      }
+    }
+  }
+  return kept;
+}
+
+// Output of jujubefront-ctl placement for a request with this key.
+std::string RunPlacementTool(const SidecarHosts& hosts, const SidecarHost& host,
+                             const std::string& key) {
+  const std::string key_file = hosts.folder() + "/key";
+  std::ofstream(key_file) << key << "\n";
+  const QFileInfo sidecar(QString::fromStdString(sidecar_program));
+  QProcess tool;
+  tool.start(sidecar.absolutePath() + "/../ctl/jujubefront-ctl",
+             {"placement", "--metrics", QString::fromStdString(host.metrics()),
+              "--host", "test.example", "--path", "/read/1", "--key-file",
+              QString::fromStdString(key_file)});
+  CPPUNIT_ASSERT(tool.waitForFinished(10'000));
+  CPPUNIT_ASSERT_EQUAL(0, tool.exitCode());
+  return tool.readAllStandardOutput().toStdString();
+}
+
 // Tests the whole request path with real relay processes on loopback.
 class PathTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PathTests);
@@ -301,26 +337,7 @@
                     .target_ = "/explain" + query,
                     .headers_ = {{"Authorization", "Bearer " + key}}});
     };
-    const auto counters = [&] {
-      std::string kept;
-      const std::string metrics =
-          Fetch(host.metrics(), {.method_ = "GET", .target_ = "/metrics"})
-              .body_;
-      std::istringstream lines(metrics);
-      for (std::string line; std::getline(lines, line);) {
-        for (const char* name :
-             {"requests", "calls", "answered", "refused", "refused_at_entry",
-              "failed", "unrouted", "over_quota", "key_rejected", "sends",
-              "resends", "runs", "backend_probes", "health_checks",
-              "inputs_unreadable"}) {
-          if (line.starts_with("jujubefront_relay_" + std::string(name) +
-                               "_total ")) {
-            kept += line + "\n";
-          }
-        }
-      }
-      return kept;
-    };
+    const auto counters = [&] { return RequestCounters(host.metrics()); };
     const auto runs = [&] {
       std::size_t count = 0;
       for (const SidecarHost& each : deployment.hosts_.hosts()) {
@@ -369,18 +386,7 @@
       }
     }
     // The same by the operators' tool, with the key from a file.
-    const std::string key_file = deployment.hosts_.folder() + "/key";
-    std::ofstream(key_file) << key << "\n";
-    const QFileInfo sidecar(QString::fromStdString(sidecar_program));
-    QProcess tool;
-    tool.start(
-        sidecar.absolutePath() + "/../ctl/jujubefront-ctl",
-        {"placement", "--metrics", QString::fromStdString(host.metrics()),
-         "--host", "test.example", "--path", "/read/1", "--key-file",
-         QString::fromStdString(key_file)});
-    CPPUNIT_ASSERT(tool.waitForFinished(10'000));
-    CPPUNIT_ASSERT_EQUAL(0, tool.exitCode());
-    const std::string shown = tool.readAllStandardOutput().toStdString();
+    const std::string shown = RunPlacementTool(deployment.hosts_, host, key);
     for (const SidecarHost& each : deployment.hosts_.hosts()) {
       CPPUNIT_ASSERT_MESSAGE(shown, shown.find(each.ip_) != std::string::npos);
     }
