--- a/standins/platform/path_tests.cc
+++ b/standins/platform/path_tests.cc
@@ -2,6 +2,12 @@
 #include <signal.h>
 
 #include <QCoreApplication>
+#include <QFileInfo>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <fstream>
+#include <sstream>
 
 #include "base/tests/run_tests.h"
 #include "http1/http1_codec.h"
@@ -55,6 +61,42 @@
   SidecarHosts hosts_;
 };
 
+// Counters of a relay that a request or a check of its own would move.
+std::string RequestCounters(const std::string& metrics_address) {
+  std::string kept;
+  std::istringstream lines(
+      Fetch(metrics_address, {.method_ = "GET", .target_ = "/metrics"}).body_);
+  for (std::string line; std::getline(lines, line);) {
+    for (const char* name :
+         {"requests", "calls", "answered", "refused", "refused_at_entry",
+          "failed", "unrouted", "over_quota", "key_rejected", "sends",
+          "resends", "runs", "backend_probes", "health_checks",
+          "inputs_unreadable"}) {
+      if (line.starts_with("jujubefront_relay_" + std::string(name) +
+                           "_total ")) {
+        kept += line + "\n";
+      }
+    }
+  }
+  return kept;
+}
+
+// Output of jujubefront-ctl placement for a request with this key.
+std::string RunPlacementTool(const SidecarHosts& hosts, const SidecarHost& host,
+                             const std::string& key) {
+  const std::string key_file = hosts.folder() + "/key";
+  std::ofstream(key_file) << key << "\n";
+  const QFileInfo sidecar(QString::fromStdString(sidecar_program));
+  QProcess tool;
+  tool.start(sidecar.absolutePath() + "/../ctl/jujubefront-ctl",
+             {"placement", "--metrics", QString::fromStdString(host.metrics()),
+              "--host", "test.example", "--path", "/read/1", "--key-file",
+              QString::fromStdString(key_file)});
+  CPPUNIT_ASSERT(tool.waitForFinished(10'000));
+  CPPUNIT_ASSERT_EQUAL(0, tool.exitCode());
+  return tool.readAllStandardOutput().toStdString();
+}
+
 // Tests the whole request path with real relay processes on loopback.
 class PathTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PathTests);
@@ -63,11 +105,14 @@
   CPPUNIT_TEST(LeavingOutlivesRestarts);
   CPPUNIT_TEST(RestartsDoNotKeepBackendServersWaiting);
   CPPUNIT_TEST(ReportsFailuresOfBackendServers);
+  CPPUNIT_TEST(InvalidStatusesReachNoCaller);
+  CPPUNIT_TEST(InvalidHealthStatusesAreNotHealthy);
   CPPUNIT_TEST(AppliesDocumentsDespiteStoreOutages);
   CPPUNIT_TEST(SurvivesKilledAndPausedPeers);
   CPPUNIT_TEST(CrashingContentIsRefusedOnAllHosts);
   CPPUNIT_TEST(OddEntriesHarmNobody);
   CPPUNIT_TEST(DocumentsWrittenBetweenTwoPagesAreRead);
+  CPPUNIT_TEST(ExplanationsSendNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -279,6 +324,81 @@
     }));
   }
 
+  // Guards against an explanation that is itself a request: no backend server
+  // gets one, and no counter of requests, sends, runs or quotas moves. Also
+  // against the key of a workspace in an answer or in the log.
+  void ExplanationsSendNothing() {
+    const std::string key = "secret-key-of-a-workspace";
+    Deployment deployment;
+    SidecarHost& host = deployment.host(0);
+    const auto explain = [&](const std::string& query) {
+      return Fetch(host.metrics(),
+                   {.method_ = "GET",
+                    .target_ = "/explain" + query,
+                    .headers_ = {{"Authorization", "Bearer " + key}}});
+    };
+    const auto counters = [&] { return RequestCounters(host.metrics()); };
+    const auto runs = [&] {
+      std::size_t count = 0;
+      for (const SidecarHost& each : deployment.hosts_.hosts()) {
+        count += each.backend_->runs().size() +
+                 static_cast<std::size_t>(each.backend_->health_checks());
+      }
+      return count;
+    };
+    const auto hosts = [](const Http1Response& answer) {
+      return QJsonDocument::fromJson(QByteArray::fromStdString(answer.body_))
+          .object()["placement"][0]["hosts"]
+          .toArray()
+          .size();
+    };
+    CPPUNIT_ASSERT(WaitUntil(std::chrono::seconds(5), [&] {
+      return hosts(explain("?host=test.example&path=/read/1")) == 2;
+    }));
+    const std::string counters_before = counters();
+    CPPUNIT_ASSERT(counters_before.find("_sends_total") != std::string::npos);
+    const std::size_t runs_before = runs();
+    struct Row {
+      const char* query_;
+      int http_status_;
+      int status_;
+      qsizetype hosts_;
+    };
+    const Row rows[] = {
+        {"?host=test.example&path=/read/1%3Fa%3Db", 200, 0, 2},
+        {"?host=test.example&path=/book/1&workspace=gates", 200, 0, 2},
+        {"?host=other.example&path=/read/1", 200, 404, 0},
+        {"?host=test.example&path=/none/", 200, 404, 0},
+        {"?host=test.example", 400, 0, 0},
+        {"", 400, 0, 0}};
+    for (int i = 0; i < 10; ++i) {
+      for (const Row& row : rows) {
+        const Http1Response answer = explain(row.query_);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.query_, row.http_status_,
+                                     answer.status_);
+        CPPUNIT_ASSERT(answer.body_.find(key) == std::string::npos);
+        const QJsonObject fields =
+            QJsonDocument::fromJson(QByteArray::fromStdString(answer.body_))
+                .object();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.query_, row.status_,
+                                     fields["status"].toInt());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.query_, row.hosts_, hosts(answer));
+      }
+    }
+    // The same by the operators' tool, with the key from a file.
+    const std::string shown = RunPlacementTool(deployment.hosts_, host, key);
+    for (const SidecarHost& each : deployment.hosts_.hosts()) {
+      CPPUNIT_ASSERT_MESSAGE(shown, shown.find(each.ip_) != std::string::npos);
+    }
+    CPPUNIT_ASSERT_EQUAL(counters_before, counters());
+    CPPUNIT_ASSERT_EQUAL(runs_before, runs());
+    std::ifstream log(deployment.hosts_.folder() + "/" + host.ip_ + ".log");
+    std::ostringstream text;
+    text << log.rdbuf();
+    CPPUNIT_ASSERT(!text.str().empty());
+    CPPUNIT_ASSERT(text.str().find(key) == std::string::npos);
+  }
+
   // An acknowledged leaving binds all processes that start later: a heartbeat
   // that was sent before, and arrives late, must not bring requests back.
   void LeavingOutlivesRestarts() {
@@ -405,6 +525,69 @@
     }
   }
 
+  // Guards against a failing backend server whose invalid status is forwarded
+  // as an answer. The request may have run, so one that is not idempotent is
+  // not sent again.
+  void InvalidStatusesReachNoCaller() {
+    struct Row {
+      const char* target_;
+      int min_runs_;
+      int max_runs_;
+    };
+    const Row rows[] = {{"/read/1", 1, 2}, {"/book/1", 1, 1}};
+    Deployment deployment;
+    for (const int status : {0, 1, 99, 600, 700, 999}) {
+      for (const Row& row : rows) {
+        const std::string id = std::to_string(status) + row.target_;
+        for (SidecarHost& host : deployment.hosts_.hosts()) {
+          host.backend_->AnswerWith(status);
+        }
+        const Http1Response answer =
+            Fetch(deployment.host(0).clients(), Client(id, row.target_));
+        // A status below 100 looks like an interim response until the caller's
+        // time is up, if it is not refused.
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 502, answer.status_);
+        const int runs = Runs(deployment.hosts_, id);
+        CPPUNIT_ASSERT_MESSAGE(id, runs >= row.min_runs_);
+        CPPUNIT_ASSERT_MESSAGE(id, runs <= row.max_runs_);
+        // Both hosts serve again, so that the next row finds both.
+        for (SidecarHost& host : deployment.hosts_.hosts()) {
+          host.backend_->AnswerWith(std::nullopt);
+          CPPUNIT_ASSERT_MESSAGE(id, WaitUntil(std::chrono::seconds(5), [&] {
+                                   return Fetch(host.clients(),
+                                                Client("w" + id, "/read/1"))
+                                              .status_ == 200;
+                                 }));
+        }
+      }
+    }
+  }
+
+  // Guards against a late heartbeat that is believed because the health check
+  // was answered with an invalid status: the answer names the instance, but
+  // says nothing about its health.
+  void InvalidHealthStatusesAreNotHealthy() {
+    // A valid answer is acted upon within less, as the test above on restarts
+    // shows.
+    constexpr Duration kUnusedFor = std::chrono::milliseconds(1800);
+    for (const int status : {0, 99, 600, 999}) {
+      Deployment deployment;
+      BackendStandin& backend = *deployment.host(0).backend_;
+      WaitUntil(kFirstRecord, [] { return false; });
+      backend.AnswerWith(status);
+      Restart(deployment, 1);
+      const std::size_t runs = backend.runs().size();
+      WaitUntil(kUnusedFor, [] { return false; });
+      for (int i = 0; i < 10; ++i) {
+        Fetch(deployment.host(0).clients(),
+              Client("h" + std::to_string(i), "/read/1"));
+      }
+      const std::string name = std::to_string(status);
+      CPPUNIT_ASSERT_MESSAGE(name, backend.health_checks() >= 1);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, runs, backend.runs().size());
+    }
+  }
+
   void AppliesDocumentsDespiteStoreOutages() {
     Deployment deployment;
     const auto served = [&](const char* target) {
