Quota: requests that did not run do not use it up

A request within the quota that was rejected for lack of capacity (503, not run) stayed counted for a window, so that its workspace got 429 when capacity returned. Refuse() now takes it out of the slot in which it was counted (counter quota_unused). RequestsThatDidNotRunLeaveTheQuotaUnused got 429 instead of 503 before.

UseIsCountedOverTheWindow left all requests unanswered: its only peer was given up as silent, and what it counted were rejections. The peer now answers; the expected counts are unchanged.

--- a/src/relay/internal/entry_answers.cc
+++ b/src/relay/internal/entry_answers.cc
@@ -105,6 +105,7 @@
 
 void Refuse(RelayStep& step, OpenRequest& request, std::string_view why) {
   ++step.state_.counters_.refused_;
+  ReturnUnusedQuota(step, request);
   LogOutcome(step, DecisionKind::kRefused, request, 503, why);
   Finish(step, request, MakeNodeResponse(503, RetryAfterFor(step, request)),
          true);
--- a/src/relay/tests/workspace_tests.cc
+++ b/src/relay/tests/workspace_tests.cc
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(WithdrawnKeysAreRefusedBeforeEachSend);
   CPPUNIT_TEST(RequestsOverTheQuotaAreRefused);
   CPPUNIT_TEST(UseIsCountedOverTheWindow);
+  CPPUNIT_TEST(RequestsThatDidNotRunLeaveTheQuotaUnused);
   CPPUNIT_TEST(RejectedRequestsAreToldATimeThatTheyHonour);
   CPPUNIT_TEST(UseOfAnEndedProcessLeavesTheWindowInTime);
   CPPUNIT_TEST(AggregatorAddsUpTheUseOfQuotas);
@@ -196,6 +197,10 @@
     constexpr std::uint64_t kPerSecond = 20;
     for (std::uint64_t id = 1; id <= kSeconds * kPerSecond; ++id) {
       node.Send(id, "/read/1", kKey);
+      // Requests that do not run are not counted.
+      for (const auto& [peer, order] : node.harness_.TakeRunOrders()) {
+        node.harness_.ReceiveAnswer(peer, order, {});
+      }
       node.harness_.RunFor(milliseconds(1000) / kPerSecond);
     }
     const QuotaUse use = UseOf(node.harness_.state().quota_.meters_.at(gates));
@@ -203,6 +208,23 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 * kPerSecond, use.per_second_, 2.0);
   }
 
+  // Guards against charging a workspace for requests that were rejected for
+  // lack of capacity: it would then be over its quota when capacity returns.
+  void RequestsThatDidNotRunLeaveTheQuotaUnused() {
+    const std::uint64_t gates = HashBytes(std::string("gates"));
+    NodeWithWorkspaces node(TableWithWorkspaces(1, 10.0));
+    node.harness_.state().admitted_["read"] = 0.0;
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+      node.Send(id, "/read/1", kKey);
+      CPPUNIT_ASSERT_EQUAL(503, node.harness_.TakeAnswerStatus());
+    }
+    const RelayState& state = node.harness_.state();
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+        0.0, UseOf(state.quota_.meters_.at(gates)).used_, 1e-9);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.counters_.over_quota_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, state.counters_.quota_unused_);
+  }
+
   // Clients honour a third of the time they have left. The time away tells
   // promised returns from those that were told the longest time.
   void RejectedRequestsAreToldATimeThatTheyHonour() {
