Balancing: choice by service rate among hosts that state their pace

ChooseCandidate takes the earliest expected finish by the last known load. All entries see the same load and choose the same host until its next report.

ChooseBalanced draws two candidates, no farther away than the choice of ChooseCandidate, in proportion to the rate at which each can serve more requests, and takes the second where the first one's penalties are higher. Loads are moved towards the mean as they age, since a report says little after a hold time.

--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -23,6 +23,12 @@
   double failure_share_ = 0.0;        // recently seen by this node, in [0, 1]
   // Time until a rate limit of its backend server allows another start.
   Duration start_wait_ = Duration::zero();
+  // Its backend server states the time that its work takes now, see
+  // ChooseBalanced.
+  bool states_pace_ = false;
+  // Time that work takes there now, relative to that when hold_ was measured.
+  double pace_ratio_ = 1.0;
+  Duration load_age_ = Duration::zero();  // of load_
 };
 
 // Settings of the choice of a host.
