Relay: load reports of backend servers, and balancing by them

The host's relay keeps the latest report of the incarnation and puts it with its age into replies and statuses. Entries use the stated pace while it is fresh, and balance only where the choice of ChooseCandidate states one; otherwise the choice and the use of random numbers are as before.

Replies name the highest send id that the host had received, so that sends after it stay counted for hosts that state a pace. sent_since_report_ is unchanged for all others.

--- a/src/relay/internal/backend_notice.cc
+++ b/src/relay/internal/backend_notice.cc
@@ -80,10 +80,43 @@
 
 }  // namespace
 
+void RecordLoadReport(RelayStep& step, const BackendNotice& notice,
+                      const std::string& trace_id) {
+  LocalBackend& backend = step.state_.backend_;
+  if (notice.load_unreadable_) {
+    ++step.state_.counters_.load_reports_ignored_;
+    ++step.state_.counters_.inputs_unreadable_;
+    step.effects_.emplace_back(
+        Decision{.kind_ = DecisionKind::kInputUnreadable,
+                 .trace_id_ = trace_id,
+                 .inputs_ = {{"source", "load of the backend server"},
+                             {"from", backend.instance_}}});
+  }
+  if (!notice.load_) return;
+  ++step.state_.counters_.load_reports_read_;
+  backend.load_report_ = {.report_ = *notice.load_, .received_at_ = step.now_};
+}
+
+std::optional<LoadReport> CurrentLoadReport(const RelayStep& step) {
+  const auto& received = step.state_.backend_.load_report_;
+  if (!received) return std::nullopt;
+  LoadReport report = received->report_;
+  report.age_ = step.now_ - received->received_at_;
+  return report;
+}
+
+bool StatesPace(const std::optional<LoadReport>& report) {
+  return report && report->pace_;
+}
+
 void OnBackendNotice(RelayStep& step, const OpenRun& run,
                      const BackendNotice& notice) {
   const LocalBackend& backend = step.state_.backend_;
-  if (!IsCurrent(backend, run)) return;
+  if (!IsCurrent(backend, run)) {
+    if (notice.load_) ++step.state_.counters_.load_reports_ignored_;
+    return;
+  }
+  RecordLoadReport(step, notice, run.order_.trace_id_);
   if (notice.rate_limit_unreadable_) {
     ++step.state_.counters_.inputs_unreadable_;
     step.effects_.emplace_back(
--- a/src/relay/internal/entry_sends.cc
+++ b/src/relay/internal/entry_sends.cc
@@ -72,6 +72,10 @@
   if (peer.in_flight_ == 0) peer.last_received_at_ = step.now_;
   ++peer.in_flight_;
   ++peer.sent_since_report_;
+  if (StatesPace(peer.status_.load_report_)) {
+    peer.uncovered_sends_.push_back(
+        {.send_id_ = request.send_id_, .sent_at_ = step.now_});
+  }
   ++step.state_.counters_.sends_;
   CountCrossing(step, peer);
   LogSend(step, request, peer, resent_because);
@@ -106,6 +110,29 @@
   return static_cast<std::size_t>(first - candidates.begin());
 }
 
+// Balances among hosts whose backend servers state their pace. Without any, the
+// host with the earliest expected finish is chosen, with one random number.
+std::optional<std::size_t> ChooseHost(
+    RelayStep& step, const OpenRequest& request,
+    const std::vector<PlacementCandidate>& candidates) {
+  const PlacementRequest properties{.latency_objective_ = request.objective_,
+                                    .is_call_ = request.is_call_};
+  RandomState& random = step.state_.random_;
+  const auto best = ChooseCandidate(candidates, step.options_.placement_,
+                                    properties, NextUnit(random));
+  if (!best) return std::nullopt;
+  if (!candidates[*best].states_pace_) {
+    ++step.state_.counters_.choices_earliest_finish_;
+    return best;
+  }
+  ++step.state_.counters_.choices_balanced_;
+  const double first = NextUnit(random);
+  const double second = NextUnit(random);
+  return ChooseBalanced(candidates, step.options_.placement_,
+                        step.options_.balancing_, properties, *best,
+                        {.first_ = first, .second_ = second});
+}
+
 }  // namespace
 
 void SendOrGiveUp(RelayStep& step, OpenRequest& request,
@@ -128,12 +155,9 @@
   const bool contained = verdict.standing_ == Standing::kContained;
   // A contained content must not run on the last backend server left.
   if (contained && candidates.size() < 2) return RefuseSuspect(step, request);
-  const auto chosen =
-      contained ? ChooseSharedCandidate(candidates, request.content_)
-                : ChooseCandidate(candidates, step.options_.placement_,
-                                  {.latency_objective_ = request.objective_,
-                                   .is_call_ = request.is_call_},
-                                  NextUnit(step.state_.random_));
+  const auto chosen = contained
+                          ? ChooseSharedCandidate(candidates, request.content_)
+                          : ChooseHost(step, request, candidates);
   if (!chosen) {
     return GiveUp(
         step, request,
@@ -208,6 +232,17 @@
   SendOrGiveUp(step, request, cause);
 }
 
+// Updates the load report of a peer, and the sends that the load in its reply
+// does not cover: those that it had not received when it wrote the reply.
+void RecordLoadReportOf(Peer& peer, const RunReply& reply) {
+  peer.status_.load_report_ = reply.load_report_;
+  if (!StatesPace(reply.load_report_)) return peer.uncovered_sends_.clear();
+  const std::uint64_t covered = std::max(reply.last_send_id_, reply.send_id_);
+  std::erase_if(peer.uncovered_sends_, [&](const UncoveredSend& send) {
+    return send.send_id_ <= covered;
+  });
+}
+
 // Updates load and slot time of a peer's backend server from a reply.
 void RecordReportedLoad(Peer& peer, const RunReply& reply, const OpenSend& send,
                         Timestamp now) {
@@ -216,9 +251,14 @@
   peer.status_.start_limit_ = reply.start_limit_;
   peer.load_reported_at_ = now;
   peer.sent_since_report_ = 0;
+  RecordLoadReportOf(peer, reply);
   if (reply.outcome_ != RunOutcome::kAnswered) return;
   Duration& hold = peer.holds_[send.route_];
   hold = hold == Duration::zero() ? reply.hold_ : (hold * 7 + reply.hold_) / 8;
+  if (!StatesPace(reply.load_report_)) return;
+  const double pace = *reply.load_report_->pace_;
+  const auto [known, first] = peer.hold_paces_.try_emplace(send.route_, pace);
+  if (!first) known->second = (known->second * 7.0 + pace) / 8.0;
 }
 
 // Whether a reply counts as a failure of the backend server. It does not if the
--- a/src/relay/internal/host_choice.cc
+++ b/src/relay/internal/host_choice.cc
@@ -43,6 +43,53 @@
                                         (now - peer.load_reported_at_));
 }
 
+// Reported load of a peer whose backend server states its pace, and the sends
+// that it does not cover. That of the own backend server is known.
+double LoadAt(const RelayStep& step, const Peer& peer) {
+  if (peer.address_ == step.options_.address_) {
+    return static_cast<double>(step.state_.running_) +
+           static_cast<double>(step.state_.waiting_.runs_.size());
+  }
+  const auto reported =
+      static_cast<double>(peer.status_.running_ + peer.status_.waiting_);
+  return std::max(reported + static_cast<double>(peer.uncovered_sends_.size()),
+                  static_cast<double>(peer.in_flight_));
+}
+
+// Work time now relative to that when the hold time was measured. Without a
+// report that is fresh enough, the hold time stands, but a backend server that
+// has just started is slower.
+double PaceRatioAt(RelayStep& step, const Peer& peer, const std::string& route,
+                   const LoadReport& report, Duration age) {
+  const BalancingOptions& options = step.options_.balancing_;
+  if (age > options.report_ttl_) {
+    ++step.state_.counters_.load_reports_expired_;
+    const bool warms_up =
+        peer.backend_replaced_at_ &&
+        step.now_ - *peer.backend_replaced_at_ < options.warm_up_;
+    return warms_up ? options.warm_up_pace_ : 1.0;
+  }
+  const auto measured = peer.hold_paces_.find(route);
+  if (measured == peer.hold_paces_.end()) return 1.0;
+  return *report.pace_ / measured->second;
+}
+
+// Adds what the backend server states about its load and pace, if it does.
+void AddStatedLoad(RelayStep& step, const Peer& peer, const std::string& route,
+                   PlacementCandidate& candidate) {
+  const bool is_local = peer.address_ == step.options_.address_;
+  const std::optional<LoadReport> report =
+      is_local ? CurrentLoadReport(step) : peer.status_.load_report_;
+  if (!StatesPace(report)) return;
+  const Duration since =
+      is_local ? Duration::zero() : step.now_ - peer.load_reported_at_;
+  candidate.states_pace_ = true;
+  candidate.load_ = LoadAt(step, peer);
+  candidate.load_age_ = since;
+  candidate.pace_ratio_ =
+      PaceRatioAt(step, peer, route, *report, report->age_ + since);
+}
+
 // Assumes that a backend server that has not run the route yet is as fast as
 // the fastest, so that it receives requests and can be measured.
 void FillUnknownHoldTimes(std::vector<PlacementCandidate>& candidates) {
@@ -71,6 +118,16 @@
 
 }  // namespace
 
+void RemoveCoveredSends(Peer& peer, Timestamp now, Duration transit) {
+  if (!StatesPace(peer.status_.load_report_)) {
+    return peer.uncovered_sends_.clear();
+  }
+  const Timestamp covered_until = now - transit - peer.round_trip_;
+  std::erase_if(peer.uncovered_sends_, [&](const UncoveredSend& send) {
+    return send.sent_at_ <= covered_until;
+  });
+}
+
 void RecordRunOutcome(RelayStep& step, Peer& peer, bool failed) {
   const double now_share = DecayedFailureShare(peer.failure_rate_, step.now_);
   peer.failure_rate_ = {.failure_share_ = now_share * (1.0 - kFailureWeight) +
@@ -105,6 +162,7 @@
          .hold_ = HoldTimeAt(peer, request.route_),
          .failure_share_ = DecayedFailureShare(peer.failure_rate_, step.now_),
          .start_wait_ = StartWaitAt(peer, step.now_)});
+    AddStatedLoad(step, peer, request.route_, candidates.back());
     if (overflows && !HasCapacityForRemoteRequests(candidates.back(),
                                                    step.options_.placement_)) {
       candidates.pop_back();
--- a/src/relay/internal/host_runs.cc
+++ b/src/relay/internal/host_runs.cc
@@ -53,6 +53,11 @@
   reply.waiting_ =
       static_cast<std::uint32_t>(step.state_.waiting_.runs_.size());
   reply.start_limit_ = FindStartLimit(step);
+  reply.load_report_ = CurrentLoadReport(step);
+  const auto last_send = step.state_.last_send_ids_.find(run.connection_id_);
+  if (last_send != step.state_.last_send_ids_.end()) {
+    reply.last_send_id_ = last_send->second;
+  }
   reply.calls_failed_ =
       run.calls_failed_ || (run.started_at_ != Timestamp{} &&
                             step.state_.call_failed_at_ >= run.started_at_);
@@ -162,6 +167,14 @@
   return NotRunReason::kNone;
 }
 
+void RecordSendId(RelayStep& step, std::uint64_t connection_id,
+                  std::uint64_t send_id) {
+  const auto& received = step.state_.backend_.load_report_;
+  if (!received || !received->report_.pace_) return;
+  std::uint64_t& last = step.state_.last_send_ids_[connection_id];
+  last = std::max(last, send_id);
+}
+
 // Latest time at which starting the run is still useful. Calls of backend
 // servers may wait longer than clients' requests.
 Timestamp LatestStart(const RelayStep& step, const RunOrder& order) {
@@ -198,6 +211,7 @@
   run.deadline_ = step.now_ + run.order_.remaining_;
   step.state_.run_of_send_[{connection_id, run.order_.send_id_}] = run_id;
   AdoptRateLimit(step, run.order_);
+  RecordSendId(step, connection_id, run.order_.send_id_);
   const NotRunReason reason = FindRefusalReason(step, run.order_);
   if (reason != NotRunReason::kNone) return ReplyNotRun(step, run, reason);
   ScheduleTimer(step, run.deadline_, RelayTimerKind::kRunDeadline, run_id);
@@ -297,6 +311,7 @@
 }
 
 void OnEntryDisconnected(RelayStep& step, std::uint64_t connection_id) {
+  step.state_.last_send_ids_.erase(connection_id);
   std::vector<std::uint64_t> sends;
   auto it = step.state_.run_of_send_.lower_bound({connection_id, 0});
   for (; it != step.state_.run_of_send_.end(); ++it) {
--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -80,6 +80,8 @@
                    "new incarnation");
     step.state_.run_stats_.clear();
     backend.rate_limit_ = {};
+    backend.load_report_.reset();
+    step.state_.last_send_ids_.clear();
     const Departure* departure = FindDeparture(step.state_, heartbeat.instance_,
                                                heartbeat.started_at_ms_);
     backend.stated_leaving_ =
--- a/src/relay/internal/peers.cc
+++ b/src/relay/internal/peers.cc
@@ -322,7 +322,8 @@
                     .reads_store_ = state.store_.is_reader_,
                     .rejected_share_ = state.arrivals_.rejected_share_,
                     .suspicion_digest_ = state.content_watch_.known_.digest_,
-                    .store_era_ = state.store_.era_.value_or(0)};
+                    .store_era_ = state.store_.era_.value_or(0),
+                    .load_report_ = CurrentLoadReport(step)};
   if (const auto& as_of = state.store_.document_as_of_) {
     status.document_age_ = step.now_ - *as_of;
   }
@@ -405,6 +406,7 @@
     peer.version_seen_at_ = step.now_;
   if (restarted) {
     peer.holds_.clear();
+    peer.hold_paces_.clear();
     // The new process may not be able to read it from the store.
     if (peer.left_ && status.backend_ == BackendState::kUnknown) {
       step.effects_.emplace_back(
@@ -417,9 +419,14 @@
   if (status.document_age_) {
     peer.document_as_of_ = step.now_ - transit - *status.document_age_;
   }
+  if (!is_new && peer.status_.backend_started_at_ms_ != 0 &&
+      status.backend_started_at_ms_ > peer.status_.backend_started_at_ms_) {
+    peer.backend_replaced_at_ = step.now_;
+  }
   SetStatus(step, peer, std::move(status));
   OnPeerDocumentAge(step, peer);
   peer.sent_since_report_ = 0;
+  RemoveCoveredSends(peer, step.now_, transit);
   peer.load_reported_at_ = step.now_;
   if (is_new || restarted) LogPeer(step, peer, is_new ? "known" : "restarted");
   // The peer is running, so reconnect without waiting for reconnect_at_.
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -107,6 +107,19 @@
 // Applies what a response states about the incarnation that ran the run.
 void OnBackendNotice(RelayStep& step, const OpenRun& run,
                      const BackendNotice& notice);
+
+// Keeps the load that the local backend server has stated in a response.
+void RecordLoadReport(RelayStep& step, const BackendNotice& notice,
+                      const std::string& trace_id);
+
+// Latest load report of the local backend server, with its present age.
+std::optional<LoadReport> CurrentLoadReport(const RelayStep& step);
+
+// Whether the backend server states the time that its work takes now.
+bool StatesPace(const std::optional<LoadReport>& report);
+
+// Removes the sends that a status covers which was sent this long ago.
+void RemoveCoveredSends(Peer& peer, Timestamp now, Duration transit);
 // Applies what an entry knows of the local backend server's rate limit, unless
 // this process has it from the backend server itself.
 void AdoptRateLimit(RelayStep& step, const RunOrder& order);
--- a/src/relay/local_backend_types.h
+++ b/src/relay/local_backend_types.h
@@ -25,6 +25,12 @@
   Timestamp broadcast_at_;
 };
 
+// Load report of the local backend server.
+struct ReceivedLoadReport {
+  LoadReport report_;
+  Timestamp received_at_;
+};
+
 // State of the local backend server, from its heartbeats and responses.
 struct LocalBackend {
   BackendState state_ = BackendState::kUnknown;
@@ -37,6 +43,7 @@
   NamedRateLimit rate_limit_;
   // The incarnation's answers state that it leaves, which is final.
   bool stated_leaving_ = false;
+  std::optional<ReceivedLoadReport> load_report_;  // the latest
 };
 
 // A call of the local backend server that is answered as soon as the store
--- a/src/relay/message_types.h
+++ b/src/relay/message_types.h
@@ -14,6 +14,7 @@
 #include "callgraph/callgraph.h"
 #include "http1/http1_types.h"
 #include "quota/quota.h"
+#include "relay/load_report_types.h"
 
 namespace jujubefront {
 
@@ -104,6 +105,8 @@
   // Latest departure of a backend server of which the sender has had no
   // heartbeat.
   std::optional<Departure> departed_;
+  // Latest load report of the backend server's incarnation.
+  std::optional<LoadReport> load_report_;
 };
 
 inline double UsableSlots(const HostStatus& status) {
@@ -196,6 +199,10 @@
   bool calls_failed_ = false;
   BackendStatement stated_;
   Http1Response response_;
+  std::optional<LoadReport> load_report_;  // see HostStatus
+  // Highest send id that the host had received from the entry, whose runs are
+  // all counted in running_ and waiting_. 0: unknown.
+  std::uint64_t last_send_id_ = 0;
 };
 
 // The entry no longer needs the answer to a run order.
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/fingerprint.h"
+#include "relay/load_report_types.h"
 #include "relay/message_types.h"
 #include "routes/routes_types.h"
 
@@ -72,6 +73,8 @@
   // It names a rate limit that cannot be read.
   bool rate_limit_unreadable_ = false;
   bool leaving_ = false;  // accepts no new requests and is about to end
+  std::optional<LoadReport> load_;
+  bool load_unreadable_ = false;  // it states a load that cannot be read
 };
 
 // Response of the local backend server to a run.
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -14,6 +14,7 @@
 
 #include "allocation/allocation.h"
 #include "allocation/overflow.h"
+#include "balancing/balancing.h"
 #include "base/hashing.h"
 #include "callgraph/callgraph.h"
 #include "pacing/pacing.h"
@@ -40,6 +41,7 @@
   std::uint64_t boot_ = 0;          // distinguishes processes at one address
   std::uint64_t seed_ = 0;          // of the random number generator
   PlacementOptions placement_;
+  BalancingOptions balancing_;
   PacingOptions pacing_;
   QuotaOptions quota_;
   AllocationOptions allocation_;
@@ -244,6 +246,12 @@
   Timestamp updated_at_;
 };
 
+// A run order that may not be counted in the load that its host has reported.
+struct UncoveredSend {
+  std::uint64_t send_id_ = 0;
+  Timestamp sent_at_;
+};
+
 // A node, as this node knows it. The local node has an entry as well.
 struct Peer {
   std::string address_;
@@ -272,9 +280,16 @@
   std::uint32_t in_flight_ = 0;  // run orders from this node
   Timestamp load_reported_at_;   // by its latest status or reply
   std::uint32_t sent_since_report_ = 0;  // run orders since then
+  // Run orders that are not counted in the reported load, oldest first. Used in
+  // place of sent_since_report_ if the backend server states its pace.
+  std::deque<UncoveredSend> uncovered_sends_;
   Timestamp status_sent_at_;
   // Measured time for which a run holds its slot, by route.
   std::map<std::string, Duration> holds_;
+  // Pace that the backend server stated while holds_ was measured, by route.
+  std::map<std::string, double> hold_paces_;
+  // Another incarnation of its backend server was seen to take over.
+  std::optional<Timestamp> backend_replaced_at_;
   FailureRate failure_rate_;
   // Latest notice that its backend server is draining or gone. It is kept when
   // the peer's process restarts and no longer knows it.
@@ -405,6 +420,12 @@
   std::uint64_t peers_avoided_ = 0;
   std::uint64_t peers_suspected_ = 0;
   std::uint64_t inputs_unreadable_ = 0;
+  std::uint64_t load_reports_read_ = 0;
+  std::uint64_t load_reports_ignored_ = 0;  // unreadable or of another instance
+  // Candidates of a balanced choice whose load report was too old to be used.
+  std::uint64_t load_reports_expired_ = 0;
+  std::uint64_t choices_balanced_ = 0;
+  std::uint64_t choices_earliest_finish_ = 0;
 };
 
 // The complete state of a relay.
@@ -417,6 +438,9 @@
   std::unordered_map<std::uint64_t, OpenRequest> requests_;
   std::unordered_map<std::uint64_t, OpenSend> sends_;
   std::unordered_map<std::uint64_t, OpenRun> runs_;
+  // Highest send id by connection of the entry, while the local backend server
+  // states its pace.
+  std::unordered_map<std::uint64_t, std::uint64_t> last_send_ids_;
   // Run id by connection and send id of the entry.
   std::map<std::pair<std::uint64_t, std::uint64_t>, std::uint64_t> run_of_send_;
   // Started runs by deadline, which their calls share.
--- a/src/relaylink/link.capnp
+++ b/src/relaylink/link.capnp
@@ -77,6 +77,15 @@
   nextStartInUs @2 :Int64;
 }
 
+# Load that a backend server has stated in a response.
+struct LoadReport {
+  running @0 :UInt32;
+  waiting @1 :UInt32;
+  slots @2 :UInt32;  # zero: no report
+  ageMs @3 :UInt32;
+  pace @4 :Float32;  # work time relative to the usual one; zero: not stated
+}
+
 struct BackendLeft {
   instance @0 :Text;
   startedAtMs @1 :Int64;
@@ -151,6 +160,7 @@
   storeEra @22 :UInt64;
   documentAgeMs @23 :UInt32 = 0xffffffff;  # the default: unknown
   departed @24 :BackendLeft;
+  loadReport @25 :LoadReport;
 }
 
 struct Order {
@@ -191,6 +201,8 @@
   body @9 :Data;
   stated @10 :BackendStatement;
   startLimit @11 :StartLimit;
+  loadReport @12 :LoadReport;
+  lastSendId @13 :UInt64;  # received from the entry; 0: unknown
 }
 
 struct TableText {
--- a/src/relaylink/link_codec.cc
+++ b/src/relaylink/link_codec.cc
@@ -146,6 +146,25 @@
       .usable_slots_ = usable_slots};
 }
 
+void Write(linkwire::LoadReport::Builder builder, const LoadReport& report) {
+  builder.setRunning(report.running_);
+  builder.setWaiting(report.waiting_);
+  builder.setSlots(report.slots_);
+  builder.setAgeMs(ToMilliseconds(report.age_));
+  builder.setPace(static_cast<float>(report.pace_.value_or(0.0)));
+}
+
+std::optional<LoadReport> Read(linkwire::LoadReport::Reader reader) {
+  if (reader.getSlots() == 0) return std::nullopt;
+  LoadReport report{.running_ = reader.getRunning(),
+                    .waiting_ = reader.getWaiting(),
+                    .slots_ = reader.getSlots(),
+                    .age_ = std::chrono::milliseconds(reader.getAgeMs())};
+  const double pace = reader.getPace();
+  if (std::isfinite(pace) && pace > 0.0) report.pace_ = pace;
+  return report;
+}
+
 // A statement that says nothing is not written.
 template <typename Init>
 void WriteStatement(Init init, const BackendStatement& statement) {
@@ -212,6 +231,9 @@
     Write(builder.initStartLimit(), *status.start_limit_);
   }
   if (status.departed_) Write(builder.initDeparted(), *status.departed_);
+  if (status.load_report_) {
+    Write(builder.initLoadReport(), *status.load_report_);
+  }
 }
 
 HostStatus Read(linkwire::Status::Reader reader) {
@@ -249,6 +271,9 @@
     status.start_limit_ = Read(reader.getStartLimit());
   }
   if (reader.hasDeparted()) status.departed_ = Read(reader.getDeparted());
+  if (reader.hasLoadReport()) {
+    status.load_report_ = Read(reader.getLoadReport());
+  }
   return status;
 }
 
@@ -450,6 +475,8 @@
   if (reply.start_limit_) {
     Write(builder.initStartLimit(), *reply.start_limit_);
   }
+  if (reply.load_report_) Write(builder.initLoadReport(), *reply.load_report_);
+  builder.setLastSendId(reply.last_send_id_);
   builder.setStatus(static_cast<std::uint16_t>(reply.response_.status_));
   WriteHeaders(builder.initHeaders(reply.response_.headers_.size()),
                reply.response_.headers_);
@@ -472,6 +499,8 @@
   if (reader.hasStartLimit()) {
     reply.start_limit_ = Read(reader.getStartLimit());
   }
+  if (reader.hasLoadReport()) reply.load_report_ = Read(reader.getLoadReport());
+  reply.last_send_id_ = reader.getLastSendId();
   reply.response_.status_ = reader.getStatus();
   reply.response_.headers_ = ReadHeaders(reader.getHeaders());
   reply.response_.body_ = ToString(reader.getBody());
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -100,12 +100,21 @@
   Counter(text, "peers_avoided", counters.peers_avoided_);
   Counter(text, "peers_suspected", counters.peers_suspected_);
   Counter(text, "inputs_unreadable", counters.inputs_unreadable_);
+  Counter(text, "load_reports_read", counters.load_reports_read_);
+  Counter(text, "load_reports_ignored", counters.load_reports_ignored_);
+  Counter(text, "load_reports_expired", counters.load_reports_expired_);
+  Counter(text, "choices_balanced", counters.choices_balanced_);
+  Counter(text, "choices_earliest_finish", counters.choices_earliest_finish_);
   Gauge(text, "running", state.running_);
   Gauge(text, "waiting", static_cast<double>(state.waiting_.runs_.size()));
   Gauge(text, "backend_arrivals_per_second", state.arrivals_.per_second_);
   // Negative: the backend server names none.
   Gauge(text, "backend_rate_limit",
         state.backend_.rate_limit_.per_second_.value_or(-1.0));
+  // Negative: the backend server states none.
+  const auto& load = state.backend_.load_report_;
+  Gauge(text, "backend_pace",
+        load && load->report_.pace_ ? *load->report_.pace_ : -1.0);
   Gauge(text, "rejected_share", state.arrivals_.rejected_share_);
   Gauge(text, "suspect_contents",
         static_cast<double>(state.content_watch_.known_.suspects_.size()));
