Balancing: tests of reports; limited and failing hosts; health responses

Hosts that a rate limit keeps from starting now are not drawn, and the risk of failure counts in the weight: with two hosts, one at which nine of ten runs fail, it gets at most 2% of the requests; the bound on the first version of the weight, the service rate alone, was a quarter by calculation.

Health responses bring load reports as well.

--- a/fuzz/fuzz_platform.cc
+++ b/fuzz/fuzz_platform.cc
@@ -45,11 +45,17 @@
           MakePlatformProtocol()
               .read_response_({.status_ = 200,
                                .headers_ = {{"Server-Limit", bytes},
-                                            {"Server-Leaving", bytes}}})
+                                            {"Server-Leaving", bytes},
+                                            {"X-Server-Load", bytes}}})
               .notice_;
       const double limit = notice.rate_limit_.value_or(0.0);
       if (!std::isfinite(limit) || limit < 0.0) std::abort();
       if (notice.rate_limit_ && notice.rate_limit_unreadable_) std::abort();
+      if (notice.load_.has_value() == notice.load_unreadable_) std::abort();
+      if (notice.load_ && notice.load_->slots_ == 0) std::abort();
+      const double pace =
+          notice.load_ ? notice.load_->pace_.value_or(1.0) : 1.0;
+      if (!std::isfinite(pace) || pace <= 0.0) std::abort();
     }
   }
   return 0;
--- a/src/balancing/balancing.cc
+++ b/src/balancing/balancing.cc
@@ -30,6 +30,8 @@
                 const PlacementOptions& placement) {
   if (!candidate.states_pace_) return false;
   if (candidate.distance_ > best.distance_) return false;
+  // A rate limit keeps it from starting a run now.
+  if (candidate.start_wait_ > best.start_wait_) return false;
   return candidate.distance_ != Distance::kOtherRegion || !has_local ||
          HasCapacityForRemoteRequests(candidate, placement);
 }
@@ -90,14 +92,19 @@
   }
 }
 
-void SetWeights(std::vector<Choice>& choices, const BalancingOptions& options) {
+// The weight is the service rate, less for less headroom. As in ExpectedFinish,
+// the risk of failure counts as time: a host at which most runs fail gets few.
+void SetWeights(std::vector<Choice>& choices, const BalancingOptions& options,
+                const PlacementRequest& request) {
   for (Choice& choice : choices) {
     const double utilisation = choice.now_.load_ / choice.slots_;
     const double headroom =
         std::clamp(options.zero_weight_utilisation_ - utilisation,
                    options.min_headroom_, options.max_headroom_);
-    choice.weight_ =
-        choice.slots_ / InMicroseconds(choice.now_.hold_) * headroom;
+    const double cost =
+        InMicroseconds(choice.now_.hold_) +
+        InMicroseconds(request.latency_objective_) * choice.now_.failure_share_;
+    choice.weight_ = choice.slots_ / cost * headroom;
   }
 }
 
@@ -128,7 +135,7 @@
       FindChoices(candidates, placement, options, best);
   if (choices.size() < 2) return best;
   EstimateLoads(choices);
-  SetWeights(choices, options);
+  SetWeights(choices, options, request);
   const Choice& first = Draw(choices, draws.first_);
   const Choice& second = Draw(choices, draws.second_);
   const bool second_is_better =
--- a/src/balancing/tests/balancing_tests.cc
+++ b/src/balancing/tests/balancing_tests.cc
@@ -290,6 +290,7 @@
   CPPUNIT_TEST(FalseReportsNeitherStarveNorOverload);
   CPPUNIT_TEST(ChoosesNoFartherThanTheEarliestFinish);
   CPPUNIT_TEST(PenaltiesDecideBetweenTheTwoDrawn);
+  CPPUNIT_TEST(UnusableHostsGetFewRequests);
   CPPUNIT_TEST(ImplausibleValuesAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -440,6 +441,34 @@
     }
   }
 
+  // A host at which all runs fail must get hardly more requests than show that
+  // it has recovered, and one that a rate limit keeps from starting none.
+  void UnusableHostsGetFewRequests() {
+    struct Row {
+      const char* name_;
+      double failure_share_;
+      Duration start_wait_;
+      double max_share_;
+    };
+    const Row rows[] = {{"fails", 0.9, Duration::zero(), 0.02},
+                        {"has failed once", 0.25, Duration::zero(), 0.1},
+                        {"rate limit", 0.0, milliseconds(20), 0.0}};
+    for (const Row& row : rows) {
+      const PlacementCandidate sound{
+          .slots_ = 10, .hold_ = milliseconds(50), .states_pace_ = true};
+      PlacementCandidate other = sound;
+      other.failure_share_ = row.failure_share_;
+      other.start_wait_ = row.start_wait_;
+      int chosen = 0;
+      for (int i = 0; i < 10000; ++i) {
+        chosen += static_cast<int>(ChooseBalanced(
+            {sound, other}, {}, {}, {}, 0,
+            {.first_ = (i % 100) / 100.0, .second_ = (i / 100) / 100.0}));
+      }
+      CPPUNIT_ASSERT_MESSAGE(row.name_, chosen <= row.max_share_ * 10000);
+    }
+  }
+
   // Reports come from other processes. None may lead to a choice beyond the
   // candidates, or to a weight that is not a number.
   void ImplausibleValuesAreBounded() {
--- a/src/relay/internal/heartbeat_age.cc
+++ b/src/relay/internal/heartbeat_age.cc
@@ -97,6 +97,12 @@
           {"held_instance", held ? held->instance_ : std::string()},
           {"after_us", (step.now_ - step.state_.started_at_).count()}}});
   if (held && IsCurrent(step, *held)) ApplyHeldHeartbeat(step);
+  // The heartbeat may have made the instance known.
+  if (checked.instance_ == step.state_.backend_.instance_) {
+    RecordLoadReport(step, checked.notice_, {});
+  } else if (checked.notice_.load_) {
+    ++step.state_.counters_.load_reports_ignored_;
+  }
 }
 
 }  // namespace jujubefront
--- a/src/relay/relay_event_types.h
+++ b/src/relay/relay_event_types.h
@@ -125,6 +125,7 @@
 struct BackendHealthChecked {
   BackendHealth health_ = BackendHealth::kNoAnswer;
   std::string instance_;  // that has answered
+  BackendNotice notice_;
 };
 
 // Heartbeat of the local backend server.
--- a/src/relaylink/tests/relaylink_tests.cc
+++ b/src/relaylink/tests/relaylink_tests.cc
@@ -19,14 +19,20 @@
 }
 
 std::vector<LinkMessage> Samples() {
-  HostStatus status{.address_ = "10.0.0.1:7000",
-                    .boot_ = 5,
-                    .zone_ = "z",
-                    .backend_ = BackendState::kDraining,
-                    .slots_ = 9,
-                    .reads_store_ = true,
-                    .document_age_ = std::chrono::milliseconds(300),
-                    .departed_ = Departure{.left_ = {.instance_ = "i"}}};
+  HostStatus status{
+      .address_ = "10.0.0.1:7000",
+      .boot_ = 5,
+      .zone_ = "z",
+      .backend_ = BackendState::kDraining,
+      .slots_ = 9,
+      .reads_store_ = true,
+      .document_age_ = std::chrono::milliseconds(300),
+      .departed_ = Departure{.left_ = {.instance_ = "i"}},
+      .load_report_ = LoadReport{.running_ = 3,
+                                 .waiting_ = 1,
+                                 .slots_ = 9,
+                                 .pace_ = 1.25,
+                                 .age_ = std::chrono::milliseconds(7)}};
   status.profiles_.push_back({.route_ = "r",
                               .service_ = "",
                               .runs_ = 4,
@@ -43,7 +49,9 @@
   RunReply reply{.send_id_ = 4,
                  .outcome_ = RunOutcome::kBroken,
                  .reason_ = NotRunReason::kRejected,
-                 .calls_failed_ = true};
+                 .calls_failed_ = true,
+                 .load_report_ = LoadReport{.slots_ = 4},
+                 .last_send_id_ = 6};
   reply.response_ = {.status_ = 200,
                      .headers_ = {{"A", "b"}},
                      .body_ = std::string("x\0y", 3)};
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -320,7 +320,8 @@
 void RelayShell::OnHealthAnswer(const Http1Response& response) {
   const ResponseMetadata metadata = protocol_.read_response_(response);
   BackendHealthChecked checked{.health_ = BackendHealth::kUnhealthy,
-                               .instance_ = metadata.instance_};
+                               .instance_ = metadata.instance_,
+                               .notice_ = metadata.notice_};
   if (response.status_ == kHealthyStatus && !metadata.notice_.leaving_) {
     checked.health_ = metadata.instance_.empty() ? BackendHealth::kUnnamed
                                                  : BackendHealth::kHealthy;
