--- a/src/balancing/balancing.cc
+++ b/src/balancing/balancing.cc
@@ -108,6 +108,40 @@
   }
 }
 
+// Reduces the weights of slower candidates as far as faster ones can serve all
+// arrivals at the fill utilisation. The arrival rate follows from the sum of
+// the loads (Little's law), which all entries see alike and which does not
+// depend on how they spread requests, so that old reports cause no herding.
+void FillFastestFirst(std::vector<Choice>& choices,
+                      const BalancingOptions& options) {
+  if (options.fill_utilisation_ <= 0.0) return;
+  const auto rate = [](const Choice& choice, double slots) {
+    return slots / InMicroseconds(choice.now_.hold_);
+  };
+  double wanted = 0.0;
+  for (const Choice& choice : choices) {
+    wanted += rate(choice, std::min(choice.now_.load_, choice.slots_));
+  }
+  std::sort(choices.begin(), choices.end(),
+            [](const Choice& a, const Choice& b) {
+              return a.now_.hold_ < b.now_.hold_;
+            });
+  for (auto first = choices.begin(); first != choices.end();) {
+    const double limit =
+        InMicroseconds(first->now_.hold_) * options.equal_hold_factor_;
+    auto last = first;
+    double usable = 0.0;
+    for (; last != choices.end() && InMicroseconds(last->now_.hold_) <= limit;
+         ++last) {
+      usable += rate(*last, last->slots_) * options.fill_utilisation_;
+    }
+    const double used =
+        std::clamp(wanted / usable, options.min_fill_share_, 1.0);
+    for (; first != last; ++first) first->weight_ *= used;
+    wanted = std::max(0.0, wanted - usable);
+  }
+}
+
 const Choice& Draw(const std::vector<Choice>& choices, double draw) {
   double left = 0.0;
   for (const Choice& choice : choices) left += choice.weight_;
@@ -136,6 +170,7 @@
   if (choices.size() < 2) return best;
   EstimateLoads(choices);
   SetWeights(choices, options, request);
+  FillFastestFirst(choices, options);
   const Choice& first = Draw(choices, draws.first_);
   const Choice& second = Draw(choices, draws.second_);
   const bool second_is_better =
--- a/src/balancing/balancing.h
+++ b/src/balancing/balancing.h
@@ -20,6 +20,13 @@
   // Bounds of the correction of a measured hold time by the stated pace.
   double min_pace_ratio_ = 0.5;
   double max_pace_ratio_ = 4.0;
+  // Utilisation up to which faster candidates are used before slower ones;
+  // zero: all are used in proportion to what they can do. Candidates whose hold
+  // times differ by no more than this factor count as equally fast, and slower
+  // ones keep a share of their weight, so that their hold times stay measured.
+  double fill_utilisation_ = 0.0;
+  double equal_hold_factor_ = 1.3;
+  double min_fill_share_ = 0.02;
   // Age from which a load report is not used. Backend servers' loads change
   // many times a second, and busy hosts report to their zone every 250 ms.
   Duration report_ttl_ = std::chrono::milliseconds(500);
--- a/src/balancing/tests/balancing_tests.cc
+++ b/src/balancing/tests/balancing_tests.cc
@@ -30,6 +30,7 @@
   double utilisation_ = 0.6;
   Reports first_server_ = Reports::kTrue;
   bool balanced_ = true;
+  BalancingOptions balancing_;
   std::vector<double> speeds_ = {0.5, 0.8, 1.1, 1.5};
   Duration length_ = std::chrono::seconds(22);
 };
@@ -174,7 +175,7 @@
     const PlacementRequest request{.latency_objective_ = milliseconds(400)};
     const std::size_t best = *ChooseCandidate(candidates, {}, request, Unit());
     if (!options_.balanced_) return best;
-    return ChooseBalanced(candidates, {}, {}, request, best,
+    return ChooseBalanced(candidates, {}, options_.balancing_, request, best,
                           {.first_ = Unit(), .second_ = Unit()});
   }
 
@@ -283,10 +284,17 @@
          std::to_string(result.mean_wait_.count()) + " us";
 }
 
+// All pairs of 100 draws, as i counts to 10,000.
+BalancingDraws DrawsOf(int i) {
+  const int second = i / 100;
+  return {.first_ = (i % 100) / 100.0, .second_ = second / 100.0};
+}
+
 class BalancingTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BalancingTests);
   CPPUNIT_TEST(ServersGetTheirFairShare);
   CPPUNIT_TEST(FewerRequestsWaitNearTheCapacity);
+  CPPUNIT_TEST(FastServersAreFilledFirstWhereThatIsSet);
   CPPUNIT_TEST(FalseReportsNeitherStarveNorOverload);
   CPPUNIT_TEST(ChoosesNoFartherThanTheEarliestFinish);
   CPPUNIT_TEST(PenaltiesDecideBetweenTheTwoDrawn);
@@ -340,6 +348,34 @@
     }
   }
 
+  // With a fill utilisation, a server of a third of the speed must get few
+  // requests while the others have room, but its fair share where they have
+  // not.
+  void FastServersAreFilledFirstWhereThatIsSet() {
+    struct Row {
+      double utilisation_;
+      double min_share_;
+      double max_share_;
+    };
+    // The three faster servers have 0.87 of the capacity: at the fill
+    // utilisation of 0.5 they can serve 0.43 of it.
+    const Row rows[] = {{0.15, 0.01, 0.5}, {0.3, 0.01, 0.5}, {0.6, 0.9, 1.1}};
+    for (const Row& row : rows) {
+      for (const int interval : {10, 500}) {
+        const ReplayOptions options{.entries_ = 66,
+                                    .report_interval_ = milliseconds(interval),
+                                    .utilisation_ = row.utilisation_,
+                                    .balancing_ = {.fill_utilisation_ = 0.5},
+                                    .length_ = std::chrono::seconds(12)};
+        const ReplayResult result = Replay(options).Run();
+        const std::string text = Describe(options, result);
+        CPPUNIT_ASSERT_MESSAGE(text, result.min_share_ >= row.min_share_);
+        CPPUNIT_ASSERT_MESSAGE(text, result.min_share_ <= row.max_share_);
+        CPPUNIT_ASSERT_MESSAGE(text, result.waited_share_ <= 0.02);
+      }
+    }
+  }
+
   // A report may be missing, stuck or false. Its server must neither be left
   // without requests nor get more than it can do.
   void FalseReportsNeitherStarveNorOverload() {
@@ -404,13 +440,11 @@
     for (const Row& row : rows) {
       std::vector<int> chosen(row.candidates_.size());
       for (int i = 0; i < 10000; ++i) {
-        const double first = (i % 100) / 100.0;
-        const double second = (i / 100) / 100.0;
         const PlacementRequest request;
         const std::size_t best =
             *ChooseCandidate(row.candidates_, {}, request, 0.0);
-        ++chosen.at(ChooseBalanced(row.candidates_, {}, {}, request, best,
-                                   {.first_ = first, .second_ = second}));
+        ++chosen.at(
+            ChooseBalanced(row.candidates_, {}, {}, request, best, DrawsOf(i)));
       }
       for (std::size_t i = 0; i < chosen.size(); ++i) {
         CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_ + std::to_string(i),
@@ -461,9 +495,8 @@
       other.start_wait_ = row.start_wait_;
       int chosen = 0;
       for (int i = 0; i < 10000; ++i) {
-        chosen += static_cast<int>(ChooseBalanced(
-            {sound, other}, {}, {}, {}, 0,
-            {.first_ = (i % 100) / 100.0, .second_ = (i / 100) / 100.0}));
+        chosen += static_cast<int>(
+            ChooseBalanced({sound, other}, {}, {}, {}, 0, DrawsOf(i)));
       }
       CPPUNIT_ASSERT_MESSAGE(row.name_, chosen <= row.max_share_ * 10000);
     }
