--- a/src/operations/placement_text.cc
+++ b/src/operations/placement_text.cc
@@ -59,7 +59,7 @@
     text += "\nservice " + TextOf(service["service"]) + ", weight " +
             TextOf(service["weight"]);
     if (service["region"].isString()) {
-      text += ", overflow to region " + TextOf(service["region"]);
+      text += ", in region " + TextOf(service["region"]);
     }
     text += ": " + TextOf(service["candidates"]) + " candidates of " +
             TextOf(service["known_hosts"]) + " hosts, " +
@@ -93,6 +93,11 @@
                      " (first " + TextOf(admission["fresh_share"]) +
                      ", returning " + TextOf(admission["returning_share"]) +
                      "), demand " + TextOf(admission["demand_per_s"]) + "/s";
+  const QJsonObject remote = admission["remote"].toObject();
+  if (!remote.isEmpty()) {
+    text += ", of which " + TextOf(remote["share"]) + " in region " +
+            TextOf(remote["region"]);
+  }
   const QJsonObject overflow = admission["overflow"].toObject();
   if (!overflow.isEmpty()) {
     text += ", overflow share " + TextOf(overflow["share"]) + " to " +
--- a/src/relay/explanation.h
+++ b/src/relay/explanation.h
@@ -57,7 +57,8 @@
   double fresh_share_ = 1.0;      // of first requests
   double returning_share_ = 1.0;  // of requests that return after a refusal
   double demand_per_second_ = 0.0;
-  std::optional<RouteOverflow> overflow_;
+  std::optional<RouteOverflow> overflow_;  // of what is not admitted
+  std::optional<RemoteShare> remote_;      // of what is admitted
 };
 
 struct QuotaExplanation {
--- a/src/relay/internal/explain_placement.cc
+++ b/src/relay/internal/explain_placement.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
+#include <set>
 
 #include "allocation/tree_success.h"
+#include "balancing/balancing.h"
 #include "relay/explanation.h"
 #include "relay/internal/host_choice.h"
 #include "routes/routes.h"
@@ -10,6 +12,8 @@
 
 // Draws by which the hosts between which a random number decides are found.
 constexpr std::size_t kMaxDraws = 64;
+// Values tried of each of the two random numbers that balancing draws.
+constexpr std::size_t kBalancingDraws = 24;
 
 std::string_view DistanceName(Distance distance) {
   switch (distance) {
@@ -98,19 +102,38 @@
   return "unknown";
 }
 
+double MidOf(std::size_t index, std::size_t count) {
+  return (static_cast<double>(index) + 0.5) / static_cast<double>(count);
+}
+
+// Adds the candidates that balancing may choose in place of `best`.
+void AddBalancedChoices(const std::vector<PlacementCandidate>& candidates,
+                        const RelayOptions& options,
+                        const PlacementRequest& request, std::size_t best,
+                        std::set<std::size_t>& choices) {
+  for (std::size_t i = 0; i < kBalancingDraws; ++i) {
+    for (std::size_t j = 0; j < kBalancingDraws; ++j) {
+      choices.insert(ChooseBalanced(candidates, options.placement_,
+                                    options.balancing_, request, best,
+                                    {.first_ = MidOf(i, kBalancingDraws),
+                                     .second_ = MidOf(j, kBalancingDraws)}));
+    }
+  }
+}
+
 // Indexes of the candidates that may be chosen.
-std::vector<std::size_t> FindChoices(
+std::set<std::size_t> FindChoices(
     const std::vector<PlacementCandidate>& candidates,
-    const PlacementOptions& options, const PlacementRequest& request) {
-  std::vector<std::size_t> choices;
+    const RelayOptions& options, const PlacementRequest& request) {
+  std::set<std::size_t> choices;
   const std::size_t draws = std::min(candidates.size(), kMaxDraws);
   for (std::size_t i = 0; i < draws; ++i) {
-    const double draw =
-        (static_cast<double>(i) + 0.5) / static_cast<double>(draws);
-    const auto chosen = ChooseCandidate(candidates, options, request, draw);
+    const auto chosen = ChooseCandidate(candidates, options.placement_, request,
+                                        MidOf(i, draws));
     if (!chosen) break;
-    if (choices.empty() || choices.back() != *chosen) {
-      choices.push_back(*chosen);
+    const bool is_new = choices.insert(*chosen).second;
+    if (is_new && candidates[*chosen].states_pace_) {
+      AddBalancedChoices(candidates, options, request, *chosen, choices);
     }
   }
   return choices;
@@ -140,8 +163,8 @@
                                     .is_call_ = request.is_call_};
   const std::vector<PlacementCandidate> candidates =
       FindCandidates(view, request);
-  const std::vector<std::size_t> choices =
-      FindChoices(candidates, options, properties);
+  const std::set<std::size_t> choices =
+      FindChoices(candidates, view.options_, properties);
   // As in ChooseCandidate.
   const bool has_local =
       std::any_of(candidates.begin(), candidates.end(), [](const auto& each) {
@@ -163,8 +186,7 @@
       host.candidate_ = *found;
       host.start_wait_ = ExpectedStartWait(*found);
       host.finish_ = ExpectedFinish(*found, options, properties);
-      host.chosen_ =
-          std::find(choices.begin(), choices.end(), index) != choices.end();
+      host.chosen_ = choices.contains(index);
       if (has_local && found->distance_ == Distance::kOtherRegion &&
           !HasCapacityForRemoteRequests(*found, options)) {
         host.excluded_ = "too few free slots for another region";
@@ -210,6 +232,10 @@
   if (overflow != state.overflow_.end()) {
     admission.overflow_ = overflow->second;
   }
+  const auto remote = state.region_sharing_.remote_.find(route.name_);
+  if (remote != state.region_sharing_.remote_.end()) {
+    admission.remote_ = remote->second;
+  }
   return admission;
 }
 
@@ -288,13 +314,15 @@
   const bool overflows = admission.overflow_ &&
                          admission.overflow_->share_ > 0.0 &&
                          has_candidate(explanation.overflow_placement_);
+  const bool shares =
+      admission.remote_ && has_candidate(explanation.overflow_placement_);
   if (refuses || state.final_answers_sent_ || state.stopped_) {
     explanation.status_ = 503;
     explanation.why_ = "the node is stopping";
   } else if (admission.admitted_share_ <= 0.0 && !overflows) {
     explanation.status_ = 503;
     explanation.why_ = "not admitted under load";
-  } else if (!has_candidate(explanation.placement_) && !overflows) {
+  } else if (!has_candidate(explanation.placement_) && !overflows && !shares) {
     explanation.status_ = 503;
     explanation.why_ = "no backend server";
   } else if (admission.admitted_share_ < 1.0) {
@@ -343,8 +371,11 @@
   request.objective_ = route.latency_objective_;
   explanation.services_ = route.services_.size();
   explanation.placement_ = ExplainServices(view, route, request);
-  if (explanation.admission_.overflow_) {
-    request.overflow_region_ = explanation.admission_.overflow_->region_;
+  const AdmissionExplanation& admission = explanation.admission_;
+  if (admission.overflow_ || admission.remote_) {
+    request.overflow_region_ = admission.remote_ ? admission.remote_->region_
+                                                 : admission.overflow_->region_;
+    request.is_planned_remote_ = admission.remote_.has_value();
     explanation.overflow_placement_ = ExplainServices(view, route, request);
   }
   ExplainRefusal(view, explanation);
--- a/src/sidecar/explanation_json.cc
+++ b/src/sidecar/explanation_json.cc
@@ -112,7 +112,12 @@
                      {"fresh_share", admission.fresh_share_},
                      {"returning_share", admission.returning_share_},
                      {"demand_per_s", admission.demand_per_second_},
-                     {"overflow", QJsonValue()}};
+                     {"overflow", QJsonValue()},
+                     {"remote", QJsonValue()}};
+  if (admission.remote_) {
+    object["remote"] = QJsonObject{{"region", Text(admission.remote_->region_)},
+                                   {"share", admission.remote_->share_}};
+  }
   if (admission.overflow_) {
     object["overflow"] =
         QJsonObject{{"region", Text(admission.overflow_->region_)},
