--- a/standins/platform/sidecar_hosts.cc
+++ b/standins/platform/sidecar_hosts.cc
@@ -74,9 +74,10 @@
   return "[node]\nname = \"" + host.ip_ + "\"\nzone = \"" + host.zone_ +
          "\"\nregion = \"" + host.region_ + "\"\nservice = \"" + host.service_ +
          "\"\nip = \"" + host.ip_ +
-         "\"\nmemory_mb = 260\nmax_descriptors = 4096\n[listen]\nclients = \"" +
-         host.clients() + "\"\nready = \"" + host.ready() +
-         "\"\nbackend_control = \"" + host.control() +
+         "\"\nmemory_mb = " + std::to_string(options_.memory_mb_) +
+         "\nmax_descriptors = " + std::to_string(options_.max_descriptors_) +
+         "\n[listen]\nclients = \"" + host.clients() + "\"\nready = \"" +
+         host.ready() + "\"\nbackend_control = \"" + host.control() +
          "\"\nfirst_link_port = 8310\nlast_link_port = 8315\n"
          "advertised_link = \"" +
          host.configured_link_ + "\"\n[backend]\naddress = \"" +
--- a/standins/platform/sidecar_hosts.h
+++ b/standins/platform/sidecar_hosts.h
@@ -42,6 +42,8 @@
   std::uint32_t slots_ = 16;
   // One in this many successful requests is logged step by step.
   std::uint32_t trace_sample_ = 64;
+  std::uint32_t memory_mb_ = 260;
+  std::uint32_t max_descriptors_ = 4096;
 };
 
 // A store, and hosts that each run a relay process beside a backend server.
