Link: bound inbound connections without a message

Nothing limited the connections that are opened at the link port and left without a message; they could take all descriptors of the process. SetMaxSilent limits them: beyond it the oldest on which nothing has arrived is closed.

--- a/src/relaylink/peer_links.cc
+++ b/src/relaylink/peer_links.cc
@@ -51,7 +51,9 @@
 }
 
 void PeerLinks::OnAccepted(TcpConnection* socket) {
+  if (silent_.size() >= max_silent_) CloseOldestSilent();
   const std::uint64_t id = ++last_id_;
+  silent_.insert(id);
   inbound_[id].socket_ = socket;
   socket->LimitUnsentInKernel(kMaxFragmentsAhead);
   socket->SetHandlers(
@@ -62,10 +64,22 @@
            [this, id](ConnectionEnd) {
              inbound_.at(id).socket_->Close();
              inbound_.erase(id);
+             silent_.erase(id);
              handlers_.on_inbound_end_(id);
            }});
 }
 
+void PeerLinks::CloseOldestSilent() {
+  for (const std::uint64_t id : silent_) {
+    // The message of a peer that has just connected is read.
+    if (inbound_.at(id).socket_->HasPendingEnd()) continue;
+    inbound_.at(id).socket_->Abort();
+    inbound_.erase(id);
+    silent_.erase(id);
+    return handlers_.on_inbound_end_(id);
+  }
+}
+
 PeerLinks::Received PeerLinks::Receive(Link& link) {
   LinkDecodeResult decoded = DecodeLinkMessage(link.socket_->inbox());
   if (decoded.malformed_) return {.malformed_ = true};
@@ -92,11 +106,13 @@
     if (received.malformed_) {
       found->second.socket_->Close();
       inbound_.erase(found);
+      silent_.erase(connection_id);
       handlers_.on_unreadable_({});
       return handlers_.on_inbound_end_(connection_id);
     }
     if (!received.more_) return;
     if (!received.message_) continue;
+    silent_.erase(connection_id);
     handlers_.on_inbound_(connection_id, std::move(*received.message_));
   }
 }
@@ -217,6 +233,7 @@
   if (written == Written::kTooMuchUnsent) {
     found->second.socket_->Abort();
     inbound_.erase(found);
+    silent_.erase(connection_id);
     QTimer::singleShot(0, this, [this, connection_id] {
       handlers_.on_inbound_end_(connection_id);
     });
--- a/src/relaylink/peer_links.h
+++ b/src/relaylink/peer_links.h
@@ -3,8 +3,10 @@
 
 #include <QObject>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "netio/tcp_listener.h"
@@ -42,6 +44,10 @@
   // Returns false if the address cannot be bound.
   bool Listen(const std::string& address);
 
+  // Limits the inbound connections on which no message has arrived yet. Beyond
+  // it the oldest one is closed.
+  void SetMaxSilent(std::size_t connections) { max_silent_ = connections; }
+
   // Opens the outbound connection to a peer; closes the present one first.
   void Connect(const std::string& peer);
   void Disconnect(const std::string& peer);
@@ -73,6 +79,7 @@
   };
 
   void OnAccepted(TcpConnection* socket);
+  void CloseOldestSilent();
   void OnInboundData(std::uint64_t connection_id);
   void OnOutboundData(const std::string& peer);
   void OnOutboundEnd(const std::string& peer);
@@ -86,6 +93,8 @@
   Handlers handlers_;
   TcpListener listener_;
   std::uint64_t last_id_ = 0;
+  std::size_t max_silent_ = std::numeric_limits<std::size_t>::max();
+  std::set<std::uint64_t> silent_;  // inbound, without a message so far
   std::map<std::uint64_t, Link> inbound_;
   std::map<std::string, Link> outbound_;
 };
