Server: what is stored for clients is bounded

Cause: Http1Server::ResumeReading turned reading on after each answered request whatever the inbox held, so that a client that pipelines without reading had up to 256 KB more stored for each response. Idle connections kept their places until the idle timeout, so that further callers were reset.

Change: reading resumes only when a quarter of the read-ahead is left. A client that acknowledges nothing for stall_timeout is disconnected; progress resets the time. When all connections are in use, the oldest idle ones of the address with most of them are closed. The time that a request waited to be read counts against its deadline.

--- a/apps/sidecar/main.cc
+++ b/apps/sidecar/main.cc
@@ -64,7 +64,12 @@
             {.feed_ =
                  [this](RelayEventBody body) { shell_.Feed(std::move(body)); },
              .ready_ = [this] { return shell_.ready(); },
-             .metrics_ = [this] { return shell_.Metrics(); }},
+             .metrics_ = [this] { return shell_.Metrics(); },
+             .on_cut_off_ =
+                 [this](std::string_view listener, ClientCutOff reason) {
+                   shell_.LogCutOff(listener, reason);
+                 },
+             .buffers_ = &shell_.client_buffers()},
             kLinkSilence) {
     shell_.SetStore(store_.Interface());
     shell_.SetBackendAnswers([this](const AnswerBackend& answer) {
--- a/src/http1/http1_codec.cc
+++ b/src/http1/http1_codec.cc
@@ -172,6 +172,18 @@
   return "unknown";
 }
 
+std::string_view ClientCutOffName(ClientCutOff reason) {
+  switch (reason) {
+    case ClientCutOff::kStalled:
+      return "takes no responses";
+    case ClientCutOff::kMemory:
+      return "memory for clients used up";
+    case ClientCutOff::kPlaces:
+      return "all connections in use";
+  }
+  return "unknown";
+}
+
 const std::string* FindHeader(const HeaderList& headers,
                               std::string_view name) {
   for (const auto& [key, value] : headers) {
--- a/src/http1/http1_server.cc
+++ b/src/http1/http1_server.cc
@@ -1,22 +1,38 @@
 #include "http1/http1_server.h"
 
+#include <algorithm>
+#include <map>
+#include <tuple>
+
 namespace jujubefront {
 namespace {
 
 constexpr Duration kSweepInterval = std::chrono::seconds(1);
-// A client that has not received its response completely by then is
-// disconnected.
-constexpr Duration kWriteTimeout = std::chrono::seconds(20);
 // How long input is still read and discarded after a request was refused.
 constexpr Duration kLingerTime = std::chrono::seconds(2);
-// Limit for buffered input of pipelined requests; reading stops above it.
-constexpr std::size_t kMaxPipelinedBytes = 256 * 1024;
-// A client's next request is not read while more response bytes than this are
-// unsent.
-constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
+// Beyond the largest header section, for a chunk's header or a trailer and the
+// bytes that arrive with them.
+constexpr std::size_t kInboxMargin = 32 * 1024;
+// Reading resumes when a quarter of the read-ahead is left.
+constexpr std::size_t kResumeDivisor = 4;
+// A connection is not closed for memory before it has stalled this long:
+// clients that read take their responses within a few milliseconds.
+constexpr Duration kMinStall = std::chrono::seconds(1);
+constexpr Duration kReliefInterval = std::chrono::milliseconds(50);
+// Connections closed at a time when all are in use: the search for them visits
+// every connection.
+constexpr std::size_t kPlacesDivisor = 64;
 
 using Clock = std::chrono::steady_clock;
 
+std::size_t SizeOf(const Http1Request& request) {
+  std::size_t bytes = request.target_.size() + request.body_.size();
+  for (const auto& [name, value] : request.headers_) {
+    bytes += name.size() + value.size();
+  }
+  return bytes;
+}
+
 int StatusOf(Http1Fault fault) {
   switch (fault) {
     case Http1Fault::kHeaderTooLarge:
@@ -48,6 +64,15 @@
   // connection, and the client would lose the response.
   bool lingering_ = false;
   bool sent_continue_ = false;
+  bool paused_ = false;  // reading is paused until memory is free
+  std::uint32_t peer_ip_ = 0;
+  // Since when a request is stored that may not be read yet.
+  std::optional<Clock::time_point> blocked_since_;
+  std::size_t charged_ = 0;        // in ClientBuffers
+  std::size_t message_bytes_ = 0;  // of the open request, or read of the header
+  std::uint64_t written_ = 0;      // response bytes
+  std::uint64_t taken_ = 0;        // those that the client has acknowledged
+  Clock::time_point taken_at_;     // last progress, or start of the responses
   Clock::time_point state_since_;  // start of the current state (reading,
                                    // answering, idle, lingering)
 };
@@ -61,10 +86,18 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(kSweepInterval));
   connect(&sweep_, &QTimer::timeout, this, [this] { CloseStale(); });
   sweep_.start();
+  relief_.setInterval(
+      std::chrono::duration_cast<std::chrono::milliseconds>(kReliefInterval));
+  connect(&relief_, &QTimer::timeout, this, [this] { RelieveMemory(); });
 }
 
 Http1Server::~Http1Server() {
-  for (auto& [id, connection] : connections_) connection->socket_->Close();
+  for (auto& [id, connection] : connections_) {
+    if (options_.buffers_ != nullptr) {
+      options_.buffers_->used_ -= connection->charged_;
+    }
+    connection->socket_->Close();
+  }
 }
 
 bool Http1Server::Listen(const std::string& address) {
@@ -92,7 +125,7 @@
 }
 
 void Http1Server::OnConnection(TcpConnection* socket) {
-  if (connections_.size() >= options_.max_connections_) {
+  if (connections_.size() >= options_.max_connections_ && !FreePlaces()) {
     socket->Abort();
     return;
   }
@@ -101,13 +134,23 @@
   connection->id_ = ++last_id_;
   connection->socket_ = socket;
   connection->state_since_ = Clock::now();
+  connection->peer_ip_ = socket->PeerIp();
   connection->reader_ = std::make_unique<Http1RequestReader>(options_.limits_);
+  socket->SetInboxLimit(InboxLimit());
   connections_[connection->id_] = std::move(owned);
   socket->SetHandlers(
       {.on_connected_ = {},
        .on_data_ = [this, connection] { OnData(*connection); },
        .on_flushed_ = [this, connection] { OnFlushed(*connection); },
-       .on_end_ = [this, connection](ConnectionEnd) { OnEnd(*connection); }});
+       .on_end_ =
+           [this, connection](ConnectionEnd end) {
+             // The kernel's own limit for a client that takes nothing.
+             if (end == ConnectionEnd::kTimedOut &&
+                 connection->socket_->unsent_bytes() > 0) {
+               return CutOff(connection->id_, ClientCutOff::kStalled);
+             }
+             OnEnd(*connection);
+           }});
 }
 
 void Http1Server::OnData(Connection& connection) {
@@ -115,31 +158,41 @@
     connection.socket_->Consume(connection.socket_->inbox().size());
     return;
   }
-  const bool slow = connection.socket_->unsent_bytes() > kMaxUnsentBytes;
+  const bool slow = connection.socket_->unsent_bytes() > options_.max_unsent_;
+  const auto inbox = connection.socket_->inbox();
   if (connection.request_id_ != 0 || slow) {
-    if (connection.socket_->inbox().size() > kMaxPipelinedBytes) {
+    if (slow && !inbox.empty() && !connection.blocked_since_) {
+      connection.blocked_since_ = Clock::now();
+    }
+    if (inbox.size() >= options_.max_read_ahead_) {
       connection.socket_->SetReading(false);
     }
-    return;
+    return Account(connection);
   }
-  const auto inbox = connection.socket_->inbox();
   if (inbox.empty()) return;
+  if (IsMemoryUsedUp()) return PauseReading(connection);
   if (!connection.reader_->started()) {
     connection.state_since_ = Clock::now();
+    connection.socket_->SetInboxLimit(InboxLimit());
     // The options may have changed since the connection opened.
     connection.reader_->SetLimits(options_.limits_);
   }
   const Http1Progress progress = connection.reader_->Read(inbox);
   connection.socket_->Consume(progress.consumed_);
+  // Bodies are counted by MessageMemory while they are read.
+  if (!connection.reader_->header_complete()) {
+    connection.message_bytes_ += progress.consumed_;
+  }
   if (progress.fault_ != Http1Fault::kNone) {
     return Refuse(connection, progress.fault_);
   }
   if (!progress.complete_) {
     if (!connection.sent_continue_ && connection.reader_->expects_continue()) {
       connection.sent_continue_ = true;
-      connection.socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      Send(connection, "HTTP/1.1 100 Continue\r\n\r\n");
     }
-    return;
+    connection.socket_->SetReading(true);
+    return Account(connection);
   }
   Http1Request request = connection.reader_->Take();
   connection.sent_continue_ = false;
@@ -147,7 +200,14 @@
   connection.keep_alive_ = request.keep_alive_;
   connection.answers_head_ = request.method_ == "HEAD";
   connection.state_since_ = Clock::now();
+  if (connection.blocked_since_) {
+    request.waited_ = std::chrono::duration_cast<Duration>(
+        connection.state_since_ - *connection.blocked_since_);
+    connection.blocked_since_.reset();
+  }
+  connection.message_bytes_ = SizeOf(request);
   requests_[connection.request_id_] = &connection;
+  Account(connection);
   handlers_.on_request_(connection.request_id_, std::move(request));
 }
 
@@ -166,7 +226,9 @@
   connection.reader_ = std::make_unique<Http1RequestReader>(options_.limits_);
   connection.lingering_ = true;
   connection.state_since_ = Clock::now();
-  connection.socket_->Write(WriteResponse(response, false));
+  connection.message_bytes_ = 0;
+  connection.socket_->SetReading(true);
+  Send(connection, WriteResponse(response, false));
   Finish(connection);
 }
 
@@ -174,6 +236,7 @@
   if (connection.lingering_) return connection.socket_->FinishWriting();
   if (connection.close_when_flushed_) return Remove(connection);
   if (connection.request_id_ == 0) ResumeReading(connection);
+  Account(connection);
 }
 
 void Http1Server::Answer(std::uint64_t request_id, Http1Response response) {
@@ -185,30 +248,193 @@
   if (closing_) connection.keep_alive_ = false;
   response.keep_alive_ = connection.keep_alive_;
   connection.state_since_ = Clock::now();
-  connection.socket_->Write(WriteResponse(response, connection.answers_head_));
+  connection.message_bytes_ = 0;
+  Send(connection, WriteResponse(response, connection.answers_head_));
   Finish(connection);
 }
 
 void Http1Server::Finish(Connection& connection) {
   if (!connection.keep_alive_) {
     connection.close_when_flushed_ = true;
+    connection.socket_->Consume(connection.socket_->inbox().size());
+    Account(connection);
     if (connection.socket_->unsent_bytes() == 0) OnFlushed(connection);
     return;
   }
   ResumeReading(connection);
+  Account(connection);
 }
 
 void Http1Server::ResumeReading(Connection& connection) {
-  connection.socket_->SetReading(true);
+  // Reading goes on only as the client's stored requests are answered.
+  const std::size_t stored = connection.socket_->inbox().size();
+  if (stored <= options_.max_read_ahead_ / kResumeDivisor &&
+      !connection.paused_) {
+    connection.socket_->SetReading(true);
+  }
   // A pipelined request is read from the event loop, so that many of them do
   // not lead to deep recursion.
-  if (!connection.socket_->inbox().empty()) {
-    const std::uint64_t id = connection.id_;
-    QTimer::singleShot(0, this, [this, id] {
-      const auto found = connections_.find(id);
-      if (found != connections_.end()) OnData(*found->second);
-    });
+  if (stored > 0) ReadLater(connection.id_);
+}
+
+void Http1Server::ReadLater(std::uint64_t connection_id) {
+  QTimer::singleShot(0, this, [this, connection_id] {
+    const auto found = connections_.find(connection_id);
+    if (found != connections_.end()) OnData(*found->second);
+  });
+}
+
+void Http1Server::Send(Connection& connection, const std::string& bytes) {
+  if (connection.written_ == connection.taken_) {
+    connection.taken_at_ = Clock::now();
   }
+  connection.written_ += bytes.size();
+  connection.socket_->Write(bytes);
+}
+
+void Http1Server::UpdateProgress(Connection& connection) {
+  if (connection.written_ == connection.taken_) return;
+  const std::uint64_t taken =
+      connection.written_ -
+      std::min<std::uint64_t>(connection.written_,
+                              connection.socket_->undelivered_bytes());
+  if (taken <= connection.taken_) return;
+  connection.taken_ = taken;
+  connection.taken_at_ = Clock::now();
+}
+
+void Http1Server::Account(Connection& connection) {
+  if (options_.buffers_ == nullptr) return;
+  const std::size_t stored = connection.socket_->inbox().size() +
+                             connection.socket_->unsent_bytes() +
+                             connection.message_bytes_;
+  options_.buffers_->used_ += stored - connection.charged_;
+  connection.charged_ = stored;
+  // Responses may exceed the limit without a connection being paused.
+  if (IsMemoryUsedUp() && !relief_.isActive()) relief_.start();
+}
+
+bool Http1Server::IsMemoryUsedUp() const {
+  return options_.buffers_ != nullptr &&
+         options_.buffers_->used_ > options_.buffers_->limit_;
+}
+
+void Http1Server::PauseReading(Connection& connection) {
+  if (!connection.blocked_since_) connection.blocked_since_ = Clock::now();
+  connection.socket_->SetReading(false);
+  Account(connection);
+  if (connection.paused_) return;
+  connection.paused_ = true;
+  paused_.push_back(connection.id_);
+  ++options_.buffers_->paused_;
+  if (!relief_.isActive()) relief_.start();
+}
+
+void Http1Server::RelieveMemory() {
+  const auto now = Clock::now();
+  if (IsMemoryUsedUp()) {
+    // Slow readers come first, then requests that do not arrive completely.
+    std::vector<std::tuple<bool, Clock::time_point, std::uint64_t>> stalled;
+    for (const auto& [id, connection] : connections_) {
+      UpdateProgress(*connection);
+      const bool unsent = connection->socket_->unsent_bytes() > 0;
+      const bool partial = connection->request_id_ == 0 &&
+                           !connection->paused_ &&
+                           connection->reader_->started();
+      if (!unsent && !partial) continue;
+      const auto since =
+          unsent ? connection->taken_at_ : connection->state_since_;
+      if (now - since >= kMinStall) stalled.emplace_back(!unsent, since, id);
+    }
+    std::sort(stalled.begin(), stalled.end());
+    for (const auto& [partial, since, id] : stalled) {
+      if (!IsMemoryUsedUp()) break;
+      CutOff(id, ClientCutOff::kMemory);
+    }
+  }
+  if (IsMemoryUsedUp()) return;
+  relief_.stop();
+  std::vector<std::uint64_t> resumed;
+  resumed.swap(paused_);
+  for (const std::uint64_t id : resumed) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) continue;
+    found->second->paused_ = false;
+    if (found->second->request_id_ == 0) ResumeReading(*found->second);
+  }
+}
+
+bool Http1Server::FreePlaces() {
+  // By address: ids of the idle connections, and of those whose request has not
+  // arrived completely, the oldest first.
+  struct Candidates {
+    std::vector<std::pair<Clock::time_point, std::uint64_t>> idle_;
+    std::vector<std::pair<Clock::time_point, std::uint64_t>> partial_;
+  };
+  std::map<std::uint32_t, Candidates> by_address;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->request_id_ != 0 || connection->close_when_flushed_ ||
+        connection->socket_->unsent_bytes() > 0) {
+      continue;
+    }
+    Candidates& candidates = by_address[connection->peer_ip_];
+    const bool partial =
+        connection->reader_->started() || !connection->socket_->inbox().empty();
+    (partial ? candidates.partial_ : candidates.idle_)
+        .emplace_back(connection->state_since_, id);
+  }
+  std::vector<std::pair<Clock::time_point, std::uint64_t>> chosen;
+  for (auto& [address, candidates] : by_address) {
+    if (candidates.idle_.size() > chosen.size()) chosen = candidates.idle_;
+  }
+  if (chosen.empty()) {
+    for (auto& [address, candidates] : by_address) {
+      if (candidates.partial_.size() > chosen.size()) {
+        chosen = candidates.partial_;
+      }
+    }
+  }
+  std::sort(chosen.begin(), chosen.end());
+  const std::size_t wanted =
+      std::max<std::size_t>(1, options_.max_connections_ / kPlacesDivisor);
+  std::size_t freed = 0;
+  for (const auto& [since, id] : chosen) {
+    if (freed >= wanted) break;
+    // A request that has just arrived is read.
+    if (connections_.at(id)->socket_->HasPendingEnd()) continue;
+    CutOff(id, ClientCutOff::kPlaces);
+    ++freed;
+  }
+  return connections_.size() < options_.max_connections_;
+}
+
+void Http1Server::CutOff(std::uint64_t connection_id, ClientCutOff reason) {
+  const auto found = connections_.find(connection_id);
+  if (found == connections_.end()) return;
+  Connection& connection = *found->second;
+  if (options_.buffers_ != nullptr) {
+    switch (reason) {
+      case ClientCutOff::kStalled:
+        ++options_.buffers_->stalled_;
+        break;
+      case ClientCutOff::kMemory:
+        ++options_.buffers_->closed_for_memory_;
+        break;
+      case ClientCutOff::kPlaces:
+        ++options_.buffers_->closed_for_places_;
+        break;
+    }
+  }
+  // A reset also frees the responses that the kernel stores.
+  if (reason != ClientCutOff::kPlaces) connection.socket_->Abort();
+  OnEnd(connection);
+  if (handlers_.on_cut_off_) handlers_.on_cut_off_(reason);
+}
+
+std::size_t Http1Server::InboxLimit() const {
+  return std::max<std::size_t>(
+      options_.max_read_ahead_,
+      options_.limits_.max_header_bytes_ + kInboxMargin);
 }
 
 void Http1Server::Drop(std::uint64_t request_id) {
@@ -227,6 +453,9 @@
 
 void Http1Server::Remove(Connection& connection) {
   if (connection.request_id_ != 0) requests_.erase(connection.request_id_);
+  if (options_.buffers_ != nullptr) {
+    options_.buffers_->used_ -= connection.charged_;
+  }
   connection.socket_->Close();
   connections_.erase(connection.id_);
 }
@@ -234,13 +463,19 @@
 void Http1Server::CloseStale() {
   const auto now = Clock::now();
   std::vector<Connection*> stale;
+  std::vector<std::uint64_t> stalled;
   for (const auto& [id, connection] : connections_) {
-    if (connection->request_id_ != 0) continue;
+    UpdateProgress(*connection);
+    if (connection->written_ > connection->taken_ &&
+        now - connection->taken_at_ > options_.stall_timeout_) {
+      stalled.push_back(id);
+      continue;
+    }
+    if (connection->request_id_ != 0 || connection->paused_) continue;
     const auto age = now - connection->state_since_;
     Duration limit = options_.idle_timeout_;
-    if (connection->socket_->unsent_bytes() > 0) {
-      limit = kWriteTimeout;
-    } else if (connection->lingering_) {
+    if (connection->socket_->unsent_bytes() > 0) continue;
+    if (connection->lingering_) {
       limit = kLingerTime;
     } else if (connection->reader_->started()) {
       limit = options_.header_timeout_;
@@ -252,6 +487,7 @@
     if (age > limit) stale.push_back(connection.get());
   }
   for (Connection* connection : stale) Remove(*connection);
+  for (const std::uint64_t id : stalled) CutOff(id, ClientCutOff::kStalled);
 }
 
 }  // namespace jujubefront
--- a/src/http1/http1_server.h
+++ b/src/http1/http1_server.h
@@ -5,8 +5,10 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/time_types.h"
 #include "http1/http1_codec.h"
@@ -19,6 +21,15 @@
   Duration header_timeout_ = std::chrono::seconds(3);
   Duration idle_timeout_ = std::chrono::seconds(15);
   std::size_t max_connections_ = 3000;
+  // Bytes of pipelined requests that are stored per connection. Raised to the
+  // largest header section where that is more.
+  std::size_t max_read_ahead_ = 64 * 1024;
+  // A client's next request is not read while more response bytes than this
+  // are unsent.
+  std::size_t max_unsent_ = 64 * 1024;
+  // A client that takes no response bytes for this long is disconnected.
+  Duration stall_timeout_ = std::chrono::seconds(20);
+  ClientBuffers* buffers_ = nullptr;  // not owned; nullptr: unlimited
   SilenceOptions silence_;
   // Builds the response to an invalid or oversized request. Default: a status
   // without a body.
@@ -27,7 +38,8 @@
 
 // HTTP/1.1 server on Qt's event loop. It handles one request at a time per
 // connection, passes on complete messages only and reports clients that
-// disconnect before their response.
+// disconnect before their response. What it stores for a client is bounded per
+// connection and, by ClientBuffers, for all servers of the process together.
 class Http1Server : public QObject {
  public:
   struct Handlers {
@@ -38,6 +50,8 @@
     std::function<void(std::uint64_t request_id)> on_client_gone_;
     // An invalid or oversized request was refused. May be empty.
     std::function<void(Http1Fault fault)> on_refused_;
+    // The connection of a client was closed. May be empty.
+    std::function<void(ClientCutOff reason)> on_cut_off_;
   };
 
   Http1Server(Http1ServerOptions options, Handlers handlers);
@@ -79,6 +93,22 @@
   void OnFlushed(Connection& connection);
   void Finish(Connection& connection);
   void ResumeReading(Connection& connection);
+  void ReadLater(std::uint64_t connection_id);
+  void Send(Connection& connection, const std::string& bytes);
+  // Updates the bytes that the client has taken.
+  static void UpdateProgress(Connection& connection);
+  // Updates what the connection counts for in ClientBuffers.
+  void Account(Connection& connection);
+  bool IsMemoryUsedUp() const;
+  void PauseReading(Connection& connection);
+  // Closes stalled connections, the longest stalled first, until the memory
+  // suffices, and resumes those that were paused.
+  void RelieveMemory();
+  // Closes connections without an open request, those of the address with the
+  // most idle ones first. Returns false if there are none.
+  bool FreePlaces();
+  void CutOff(std::uint64_t connection_id, ClientCutOff reason);
+  std::size_t InboxLimit() const;
   void CloseStale();
   void Remove(Connection& connection);
 
@@ -86,6 +116,8 @@
   Handlers handlers_;
   TcpListener listener_;
   QTimer sweep_;
+  QTimer relief_;                      // runs while connections are paused
+  std::vector<std::uint64_t> paused_;  // ids of connections
   bool closing_ = false;
   std::uint64_t last_id_ = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
--- a/src/http1/http1_types.h
+++ b/src/http1/http1_types.h
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "base/time_types.h"
+
 namespace jujubefront {
 
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
@@ -18,6 +20,9 @@
   HeaderList headers_;
   std::string body_;
   bool keep_alive_ = true;
+  // How long a server stored its first bytes before it read it, because the
+  // client took no responses or the memory for clients was used up.
+  Duration waited_ = Duration::zero();
 };
 
 // A complete HTTP/1.1 response.
@@ -34,6 +39,28 @@
   std::size_t used_ = 0;
 };
 
+// Account of what the servers of a process store for their clients: input read
+// ahead, requests that are open, unsent responses.
+struct ClientBuffers {
+  std::size_t limit_ = 0;  // bytes
+  std::size_t used_ = 0;
+  // Connections on which reading was paused because the limit was reached.
+  std::uint64_t paused_ = 0;
+  // Connections closed, by ClientCutOff.
+  std::uint64_t stalled_ = 0;
+  std::uint64_t closed_for_memory_ = 0;
+  std::uint64_t closed_for_places_ = 0;
+};
+
+// Why a server closed the connection of a client.
+enum class ClientCutOff : std::uint8_t {
+  kStalled,  // it took no response bytes for the stall timeout
+  kMemory,   // the limit of ClientBuffers was reached, and it had stalled
+  kPlaces,   // all connections were in use, and it had no open request
+};
+
+std::string_view ClientCutOffName(ClientCutOff reason);
+
 // Limits for one message.
 struct Http1Limits {
   std::uint32_t max_header_bytes_ = 16 * 1024;
--- a/src/netio/tcp_connection.cc
+++ b/src/netio/tcp_connection.cc
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -162,7 +163,9 @@
 void TcpConnection::OnEvents(std::uint32_t events) {
   const std::uint32_t error_events = EPOLLERR | EPOLLHUP;
   if (!connected_ || (events & EPOLLOUT) != 0) OnWritable();
-  if (connected_ && (events & (EPOLLIN | error_events)) != 0) OnReadable();
+  if (connected_ && (events & (EPOLLIN | error_events)) != 0) {
+    OnReadable((events & error_events) != 0);
+  }
 }
 
 void TcpConnection::Write(std::string_view bytes) {
@@ -179,6 +182,16 @@
   Watch(reading_, true);
 }
 
+std::uint32_t TcpConnection::PeerIp() const {
+  sockaddr_in remote{};
+  socklen_t length = sizeof(remote);
+  if (getpeername(descriptor_, reinterpret_cast<sockaddr*>(&remote), &length) !=
+      0) {
+    return 0;
+  }
+  return ntohl(remote.sin_addr.s_addr);
+}
+
 void TcpConnection::LimitUnsentInKernel(std::size_t bytes) {
   const auto limit = static_cast<int>(bytes);
   setsockopt(descriptor_, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &limit,
@@ -216,17 +229,23 @@
   Flush();
 }
 
-void TcpConnection::OnReadable() {
+void TcpConnection::OnReadable(bool ended) {
   if (ended_ || descriptor_ < 0) return;
   static std::array<char, kReadChunk> chunk;
   bool received = false;
   for (std::size_t total = 0; total < kMaxReadPerTurn;) {
-    const ssize_t count = ::recv(descriptor_, chunk.data(), chunk.size(), 0);
+    const std::size_t held = inbox_.size() - inbox_start_;
+    const std::size_t space = inbox_limit_ - std::min(inbox_limit_, held);
+    if (space == 0 && !ended) break;
+    const std::size_t wanted =
+        ended ? chunk.size() : std::min(chunk.size(), space);
+    const ssize_t count = ::recv(descriptor_, chunk.data(), wanted, 0);
     if (count > 0) {
-      inbox_.append(chunk.data(), static_cast<std::size_t>(count));
-      received = true;
+      inbox_.append(chunk.data(),
+                    std::min(static_cast<std::size_t>(count), space));
+      received = received || space > 0;
       total += static_cast<std::size_t>(count);
-      if (static_cast<std::size_t>(count) < chunk.size()) break;
+      if (static_cast<std::size_t>(count) < wanted) break;
       continue;
     }
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) break;
--- a/src/netio/tcp_connection.h
+++ b/src/netio/tcp_connection.h
@@ -1,7 +1,9 @@
 #ifndef JUJUBEFRONT_NETIO_TCP_CONNECTION_H_
 #define JUJUBEFRONT_NETIO_TCP_CONNECTION_H_
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -64,6 +66,13 @@
   // Stops and resumes reading, to bound the inbox.
   void SetReading(bool reading);
 
+  // Limits the bytes that are read ahead into the inbox. With a full inbox, the
+  // owner must consume from it or stop reading.
+  void SetInboxLimit(std::size_t bytes) { inbox_limit_ = bytes; }
+
+  // IPv4 address of the other side in host byte order; 0 if unknown.
+  std::uint32_t PeerIp() const;
+
   // Limits the unsent bytes that the kernel takes from this connection
   // (TCP_NOTSENT_LOWAT).
   void LimitUnsentInKernel(std::size_t bytes);
@@ -96,7 +105,9 @@
 
   void OnEvents(std::uint32_t events) override;
   void Watch(bool reading, bool writing);
-  void OnReadable();
+  // `ended`: an error or hang-up was reported, so that what exceeds the inbox
+  // limit is discarded.
+  void OnReadable(bool ended);
   void OnWritable();
   void Flush();
   void End(ConnectionEnd end);
@@ -108,6 +119,7 @@
   Handlers handlers_;
   std::string inbox_;
   std::size_t inbox_start_ = 0;
+  std::size_t inbox_limit_ = std::numeric_limits<std::size_t>::max();
   std::string outbox_;
   std::size_t outbox_start_ = 0;
   bool reading_ = false;  // epoll watches for input
--- a/src/relay/relay_effect_types.h
+++ b/src/relay/relay_effect_types.h
@@ -143,6 +143,7 @@
   kRefused,
   kFailed,
   kCancelled,
+  kClientCutOff,  // the connection of a client was closed
   kSent,
   kResent,
   kRunStarted,
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -61,6 +61,8 @@
       return "failed";
     case DecisionKind::kCancelled:
       return "cancelled";
+    case DecisionKind::kClientCutOff:
+      return "client_cut_off";
     case DecisionKind::kSent:
       return "sent";
     case DecisionKind::kResent:
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -119,4 +119,15 @@
   return text.str();
 }
 
+std::string RenderClientBuffers(const ClientBuffers& buffers) {
+  std::ostringstream text;
+  Counter(text, "client_reads_paused", buffers.paused_);
+  Counter(text, "clients_stalled", buffers.stalled_);
+  Counter(text, "clients_closed_for_memory", buffers.closed_for_memory_);
+  Counter(text, "clients_closed_for_places", buffers.closed_for_places_);
+  Gauge(text, "client_buffer_bytes", static_cast<double>(buffers.used_));
+  Gauge(text, "client_buffer_limit_bytes", static_cast<double>(buffers.limit_));
+  return text.str();
+}
+
 }  // namespace jujubefront
--- a/src/sidecar/relay_metrics.h
+++ b/src/sidecar/relay_metrics.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <string>
 
+#include "http1/http1_types.h"
 #include "relay/relay_types.h"
 
 namespace jujubefront {
@@ -47,6 +48,9 @@
   std::map<std::string, Series> routes_;
 };
 
+// Renders the account of what is stored for clients.
+std::string RenderClientBuffers(const ClientBuffers& buffers);
+
 }  // namespace jujubefront
 
 #endif  // JUJUBEFRONT_SIDECAR_RELAY_METRICS_H_
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -1,5 +1,6 @@
 #include "sidecar/relay_shell.h"
 
+#include <algorithm>
 #include <ctime>
 
 namespace jujubefront {
@@ -118,21 +119,25 @@
       protocol_(std::move(protocol)),
       on_exit_(std::move(on_exit)),
       log_(options_.log_),
+      client_buffers_{.limit_ = options_.client_buffer_bytes_},
       client_memory_{.limit_ = options_.message_bytes_},
       backend_memory_{.limit_ = options_.message_bytes_},
-      clients_(ServerOptions({}),
-               {.on_request_ =
-                    [this](std::uint64_t id, Http1Request request) {
-                      OnRequest(id, std::move(request));
-                    },
-                .on_client_gone_ =
-                    [this](std::uint64_t id) { Feed(RequestCancelled{id}); },
-                .on_refused_ =
-                    [this](Http1Fault fault) {
-                      Feed(InputUnreadable{
-                          .source_ = "request",
-                          .detail_ = std::string(Http1FaultName(fault))});
-                    }}),
+      clients_(
+          ServerOptions({}),
+          {.on_request_ =
+               [this](std::uint64_t id, Http1Request request) {
+                 OnRequest(id, std::move(request));
+               },
+           .on_client_gone_ =
+               [this](std::uint64_t id) { Feed(RequestCancelled{id}); },
+           .on_refused_ =
+               [this](Http1Fault fault) {
+                 Feed(InputUnreadable{
+                     .source_ = "request",
+                     .detail_ = std::string(Http1FaultName(fault))});
+               },
+           .on_cut_off_ =
+               [this](ClientCutOff reason) { LogCutOff("clients", reason); }}),
       backend_(
           {.limits_ = {.max_body_bytes_ = options_.message_bytes_,
                        .memory_ = &backend_memory_},
@@ -161,6 +166,7 @@
                    },
                .on_probed_ = [](Http1Probe) {}}),
       links_(options_.link_silence_, options_.message_bytes_, LinkHandlers()) {
+  links_.SetMaxSilent(options_.max_silent_peers_);
   wake_timer_.setSingleShot(true);
   wake_timer_.setTimerType(Qt::PreciseTimer);
   connect(&wake_timer_, &QTimer::timeout, this, [this] {
@@ -240,6 +246,10 @@
           .header_timeout_ = limits.header_timeout_,
           .idle_timeout_ = limits.idle_timeout_,
           .max_connections_ = options_.max_client_connections_,
+          .max_read_ahead_ = options_.max_read_ahead_,
+          .max_unsent_ = options_.max_unsent_,
+          .stall_timeout_ = options_.stall_timeout_,
+          .buffers_ = &client_buffers_,
           .silence_ = options_.client_silence_};
 }
 
@@ -284,6 +294,11 @@
 
 void RelayShell::OnRequest(std::uint64_t id, Http1Request request) {
   RequestMetadata metadata = protocol_.read_request_(request);
+  // The time that a request waited to be read counts against its deadline.
+  if (metadata.remaining_) {
+    metadata.remaining_ =
+        std::max(Duration::zero(), *metadata.remaining_ - request.waited_);
+  }
   const std::string* host = FindHeader(request.headers_, "Host");
   Feed(RequestArrived{.request_id_ = id,
                       .trace_id_ = std::move(metadata.trace_id_),
@@ -330,6 +345,16 @@
   Feed(std::move(checked));
 }
 
-std::string RelayShell::Metrics() const { return metrics_.Render(state_); }
+void RelayShell::LogCutOff(std::string_view listener, ClientCutOff reason) {
+  log_.Write(Now(),
+             {.kind_ = DecisionKind::kClientCutOff,
+              .trace_id_ = {},
+              .inputs_ = {{"listener", std::string(listener)},
+                          {"reason", std::string(ClientCutOffName(reason))}}});
+}
+
+std::string RelayShell::Metrics() const {
+  return metrics_.Render(state_) + RenderClientBuffers(client_buffers_);
+}
 
 }  // namespace jujubefront
--- a/src/sidecar/relay_shell.h
+++ b/src/sidecar/relay_shell.h
@@ -91,6 +91,14 @@
   // Limit on buffered message bodies: one for those read from clients, another
   // of the same size for those read from the backend server.
   std::size_t message_bytes_ = 64 * 1024 * 1024;
+  // Limit on what is stored for all clients together: input read ahead, open
+  // requests, unsent responses.
+  std::size_t client_buffer_bytes_ = 64 * 1024 * 1024;
+  std::size_t max_read_ahead_ = 64 * 1024;  // bytes, see Http1ServerOptions
+  std::size_t max_unsent_ = 64 * 1024;      // bytes, see Http1ServerOptions
+  Duration stall_timeout_ = std::chrono::seconds(20);
+  // Inbound connections on the link port on which no message has arrived yet.
+  std::size_t max_silent_peers_ = 512;
   SilenceOptions link_silence_;
   SilenceOptions client_silence_;
   DecisionLogOptions log_;
@@ -121,6 +129,11 @@
   // Applies settings that may change while the process runs.
   void Reload(const RelayOptions& relay);
 
+  // Account of what is stored for clients, for further servers of the process.
+  ClientBuffers& client_buffers() { return client_buffers_; }
+  // Logs that a server of the process closed the connection of a client.
+  void LogCutOff(std::string_view listener, ClientCutOff reason);
+
   bool ready() const { return ready_; }
   std::string Metrics() const;
 
@@ -151,6 +164,7 @@
   bool ready_ = false;
   DecisionLog log_;
   RelayMetrics metrics_;
+  ClientBuffers client_buffers_;
   MessageMemory client_memory_;
   MessageMemory backend_memory_;
   Http1Server clients_;
