Tests: unfinished uploads and unfinished messages of peers

400 uploads that stop midway must not lock out ordinary callers; 8 connections at the link port that send up to 32 MB each of a message that states 64 MB must not be stored.

--- a/standins/platform/uncontrolled_client_tests.cc
+++ b/standins/platform/uncontrolled_client_tests.cc
@@ -191,6 +191,8 @@
   CPPUNIT_TEST(UnreadResponsesWithoutHeaders);
   CPPUNIT_TEST(UnreadResponsesOfReadiness);
   CPPUNIT_TEST(IdleConnectionsLeaveRoomForOrdinaryCallers);
+  CPPUNIT_TEST(UnfinishedUploadsLeaveRoomForOrdinaryCallers);
+  CPPUNIT_TEST(UnfinishedMessagesOfPeers);
   CPPUNIT_TEST(PipelinedBookingsRunAtMostOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -259,6 +261,43 @@
     }
   }
 
+  // Clients that send a part of a body and then nothing kept all connections
+  // until the idle timeout of 15 s.
+  void UnfinishedUploadsLeaveRoomForOrdinaryCallers() {
+    constexpr std::size_t kUploads = 400;
+    constexpr std::string_view kBegin =
+        "POST /book/1 HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: u\r\n"
+        "Content-Length: 1000\r\n\r\nbody";
+    LimitedHost limited;
+    std::vector<int> uploads;
+    for (std::size_t i = 0; i < kUploads; ++i) {
+      const int descriptor = ConnectTo(limited.host().clients());
+      if (descriptor < 0) continue;
+      uploads.push_back(descriptor);
+      ::send(descriptor, kBegin.data(), kBegin.size(), MSG_NOSIGNAL);
+    }
+    limited.Check("uploads");
+    for (const int descriptor : uploads) ::close(descriptor);
+  }
+
+  // A connection at the link port stored the bytes of one message until it was
+  // whole, and a message may state 72 MB.
+  void UnfinishedMessagesOfPeers() {
+    constexpr std::size_t kPieceBytes = 64 * 1024;
+    // One segment of 64 MB in 8-byte words, in the framing of Cap'n Proto.
+    const std::string frame("\0\0\0\0\0\0\x80\0", 8);
+    LimitedHost limited;
+    const UnreadPipeline peers(limited.host().link(), [&](std::size_t number) {
+      std::string piece(kPieceBytes, '\0');
+      // The first piece of each connection.
+      if (number <= kConnections) piece.replace(0, frame.size(), frame);
+      return piece;
+    });
+    CPPUNIT_ASSERT(WaitUntil(kMaxSendTime + std::chrono::seconds(5),
+                             [&] { return peers.done(); }));
+    limited.Check("peers, sent " + std::to_string(peers.sent()));
+  }
+
   // A client that pipelines bookings and closes its connection must not cause
   // one of them to run twice.
   void PipelinedBookingsRunAtMostOnce() {
