Link: bound incomplete first messages

Cause: a connection at the link port stored a message until it was whole, up to 72 MB, also of a client that had never sent a message. Incomplete first messages of all inbound connections may now take a quarter of the memory for bodies (memory_mb / 32); beyond it the connection that stores most is closed and counted as unreadable input.

--- a/src/relaylink/large_messages.h
+++ b/src/relaylink/large_messages.h
@@ -45,6 +45,9 @@
   // sets `malformed` if the message becomes too long.
   std::optional<std::string> Add(const LinkFragment& fragment, bool& malformed);
 
+  // Bytes of the message that is incomplete.
+  std::size_t size() const { return encoded_.size(); }
+
  private:
   std::string encoded_;
 };
--- a/src/relaylink/peer_links.cc
+++ b/src/relaylink/peer_links.cc
@@ -73,13 +73,35 @@
   for (const std::uint64_t id : silent_) {
     // The message of a peer that has just connected is read.
     if (inbound_.at(id).socket_->HasPendingEnd()) continue;
-    inbound_.at(id).socket_->Abort();
-    inbound_.erase(id);
-    silent_.erase(id);
-    return handlers_.on_inbound_end_(id);
+    return CloseSilent(id);
   }
 }
 
+void PeerLinks::CloseLargestSilent() {
+  std::size_t total = 0;
+  std::size_t largest = 0;
+  std::uint64_t largest_id = 0;
+  for (const std::uint64_t id : silent_) {
+    const Link& link = inbound_.at(id);
+    const std::size_t stored =
+        link.socket_->inbox().size() + link.assembler_.size();
+    total += stored;
+    if (stored <= largest) continue;
+    largest = stored;
+    largest_id = id;
+  }
+  if (total <= max_silent_bytes_) return;
+  CloseSilent(largest_id);
+  handlers_.on_unreadable_({});
+}
+
+void PeerLinks::CloseSilent(std::uint64_t connection_id) {
+  inbound_.at(connection_id).socket_->Abort();
+  inbound_.erase(connection_id);
+  silent_.erase(connection_id);
+  handlers_.on_inbound_end_(connection_id);
+}
+
 PeerLinks::Received PeerLinks::Receive(Link& link) {
   LinkDecodeResult decoded = DecodeLinkMessage(link.socket_->inbox());
   if (decoded.malformed_) return {.malformed_ = true};
@@ -110,7 +132,10 @@
       handlers_.on_unreadable_({});
       return handlers_.on_inbound_end_(connection_id);
     }
-    if (!received.more_) return;
+    if (!received.more_) {
+      if (silent_.contains(connection_id)) CloseLargestSilent();
+      return;
+    }
     if (!received.message_) continue;
     silent_.erase(connection_id);
     handlers_.on_inbound_(connection_id, std::move(*received.message_));
--- a/src/relaylink/peer_links.h
+++ b/src/relaylink/peer_links.h
@@ -44,9 +44,13 @@
   // Returns false if the address cannot be bound.
   bool Listen(const std::string& address);
 
-  // Limits the inbound connections on which no message has arrived yet. Beyond
-  // it the oldest one is closed.
-  void SetMaxSilent(std::size_t connections) { max_silent_ = connections; }
+  // Limits the inbound connections on which no whole message has arrived yet.
+  // Beyond `connections` the oldest one is closed; when they store more than
+  // `bytes` together, the one that stores most.
+  void LimitSilent(std::size_t connections, std::size_t bytes) {
+    max_silent_ = connections;
+    max_silent_bytes_ = bytes;
+  }
 
   // Opens the outbound connection to a peer; closes the present one first.
   void Connect(const std::string& peer);
@@ -80,6 +84,8 @@
 
   void OnAccepted(TcpConnection* socket);
   void CloseOldestSilent();
+  void CloseLargestSilent();
+  void CloseSilent(std::uint64_t connection_id);
   void OnInboundData(std::uint64_t connection_id);
   void OnOutboundData(const std::string& peer);
   void OnOutboundEnd(const std::string& peer);
@@ -94,7 +100,8 @@
   TcpListener listener_;
   std::uint64_t last_id_ = 0;
   std::size_t max_silent_ = std::numeric_limits<std::size_t>::max();
-  std::set<std::uint64_t> silent_;  // inbound, without a message so far
+  std::size_t max_silent_bytes_ = std::numeric_limits<std::size_t>::max();
+  std::set<std::uint64_t> silent_;  // inbound, without a whole message so far
   std::map<std::uint64_t, Link> inbound_;
   std::map<std::string, Link> outbound_;
 };
--- a/src/sidecar/relay_shell.cc
+++ b/src/sidecar/relay_shell.cc
@@ -12,6 +12,9 @@
 // Time after which a health check counts as unanswered. Backend servers answer
 // it as soon as they have a free slot.
 constexpr std::chrono::milliseconds kHealthTimeout(1000);
+// Share of the memory for bodies that first messages of inbound connections on
+// the link port may take while they are incomplete.
+constexpr std::size_t kSilentBytesDivisor = 4;
 // Interval at which a process that is to exit checks its unsent responses.
 constexpr Duration kDeliveryCheck = std::chrono::milliseconds(20);
 
@@ -166,7 +169,8 @@
                    },
                .on_probed_ = [](Http1Probe) {}}),
       links_(options_.link_silence_, options_.message_bytes_, LinkHandlers()) {
-  links_.SetMaxSilent(options_.max_silent_peers_);
+  links_.LimitSilent(options_.max_silent_peers_,
+                     options_.message_bytes_ / kSilentBytesDivisor);
   wake_timer_.setSingleShot(true);
   wake_timer_.setTimerType(Qt::PreciseTimer);
   connect(&wake_timer_, &QTimer::timeout, this, [this] {
