Server: tests of the bounds, and margin after memory was relieved

Cause: with the account just under its limit, reading paused again after the next response, and a caller waited behind all others that were paused (not answered within 3 s beside 20 clients that left 8 MB unread).

Change: stalled connections are closed until three quarters of the limit are used, and connections that store least are resumed first.

--- a/src/http1/http1_server.cc
+++ b/src/http1/http1_server.cc
@@ -25,6 +25,12 @@
 
 using Clock = std::chrono::steady_clock;
 
+// Stalled connections are closed until this much is used: without a margin,
+// reading would pause again after the next response.
+std::size_t RelievedBytes(const ClientBuffers& buffers) {
+  return buffers.limit_ / 4 * 3;
+}
+
 std::size_t SizeOf(const Http1Request& request) {
   std::size_t bytes = request.target_.size() + request.body_.size();
   for (const auto& [name, value] : request.headers_) {
@@ -348,7 +354,7 @@
     }
     std::sort(stalled.begin(), stalled.end());
     for (const auto& [partial, since, id] : stalled) {
-      if (!IsMemoryUsedUp()) break;
+      if (options_.buffers_->used_ <= RelievedBytes(*options_.buffers_)) break;
       CutOff(id, ClientCutOff::kMemory);
     }
   }
@@ -356,6 +362,12 @@
   relief_.stop();
   std::vector<std::uint64_t> resumed;
   resumed.swap(paused_);
+  // Those that store least come first: the memory may be used up again by the
+  // others.
+  std::stable_sort(resumed.begin(), resumed.end(),
+                   [&](std::uint64_t first, std::uint64_t second) {
+                     return ChargedBytes(first) < ChargedBytes(second);
+                   });
   for (const std::uint64_t id : resumed) {
     const auto found = connections_.find(id);
     if (found == connections_.end()) continue;
@@ -364,6 +376,11 @@
   }
 }
 
+std::size_t Http1Server::ChargedBytes(std::uint64_t connection_id) const {
+  const auto found = connections_.find(connection_id);
+  return found == connections_.end() ? 0 : found->second->charged_;
+}
+
 bool Http1Server::FreePlaces() {
   // By address: ids of the idle connections, and of those whose request has not
   // arrived completely, the oldest first.
@@ -461,6 +478,8 @@
 }
 
 void Http1Server::CloseStale() {
+  // Another server of the process may have used the memory up.
+  if (IsMemoryUsedUp() && !relief_.isActive()) relief_.start();
   const auto now = Clock::now();
   std::vector<Connection*> stale;
   std::vector<std::uint64_t> stalled;
--- a/src/http1/http1_server.h
+++ b/src/http1/http1_server.h
@@ -100,6 +100,7 @@
   // Updates what the connection counts for in ClientBuffers.
   void Account(Connection& connection);
   bool IsMemoryUsedUp() const;
+  std::size_t ChargedBytes(std::uint64_t connection_id) const;
   void PauseReading(Connection& connection);
   // Closes stalled connections, the longest stalled first, until the memory
   // suffices, and resumes those that were paused.
--- a/src/http1/tests/connection_tests.cc
+++ b/src/http1/tests/connection_tests.cc
@@ -284,6 +284,9 @@
   CPPUNIT_TEST(ClientThatSendsWithoutEndHarmsNobodyElse);
   CPPUNIT_TEST(ServerAnswersPipelinedRequestsInOrder);
   CPPUNIT_TEST(SlowReadersTakeBoundedMemory);
+  CPPUNIT_TEST(ClientsThatTakeNothingAreDisconnected);
+  CPPUNIT_TEST(MemoryForClientsIsBounded);
+  CPPUNIT_TEST(UnusedConnectionsGivePlacesUp);
   CPPUNIT_TEST(ConnectionsAreBounded);
   CPPUNIT_TEST(RefusedClientsGetTheirResponseWhileTheySend);
   CPPUNIT_TEST(NewLimitsApplyToOpenConnections);
@@ -734,6 +737,182 @@
     socket->Close();
   }
 
+  // A time limit on the whole response would also end clients that read a large
+  // response slowly; without one, those that read nothing keep it in memory.
+  void ClientsThatTakeNothingAreDisconnected() {
+    EnsureApplication();
+    struct Row {
+      const char* name_;
+      bool reads_;
+    };
+    const Row rows[] = {{"reads nothing", false}, {"reads slowly", true}};
+    for (const Row& row : rows) {
+      constexpr std::size_t kBodyBytes = 64 * 1024 * 1024;
+      ClientBuffers buffers{.limit_ = 2 * kBodyBytes};
+      int cut_off = 0;
+      Http1Server server(
+          {.stall_timeout_ = std::chrono::seconds(1),
+           .buffers_ = &buffers,
+           .silence_ = {.unacknowledged_ = std::chrono::seconds(20)}},
+          {.on_request_ =
+               [&](std::uint64_t id, const Http1Request&) {
+                 server.Answer(id, {.status_ = 200,
+                                    .body_ = std::string(kBodyBytes, 'b')});
+               },
+           .on_client_gone_ = [](std::uint64_t) {},
+           .on_refused_ = {},
+           .on_cut_off_ =
+               [&](ClientCutOff reason) {
+                 CPPUNIT_ASSERT(reason == ClientCutOff::kStalled);
+                 ++cut_off;
+               }});
+      CPPUNIT_ASSERT(server.Listen(kAddress));
+      TcpConnection* client =
+          TcpConnection::Open("127.0.0.1:" + std::to_string(server.port()), {});
+      client->SetInboxLimit(512 * 1024);
+      client->SetHandlers({.on_connected_ =
+                               [&] {
+                                 client->SetReading(false);
+                                 client->Write(
+                                     "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+                               },
+                           .on_data_ = [&] { client->SetReading(false); },
+                           .on_flushed_ = {},
+                           .on_end_ = {}});
+      RunLoopUntil(
+          [&] {
+            if (row.reads_) {
+              client->Consume(client->inbox().size());
+              client->SetReading(true);
+            }
+            return cut_off > 0;
+          },
+          std::chrono::seconds(4));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.reads_ ? 0 : 1, cut_off);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::uint64_t(row.reads_ ? 0 : 1),
+                                   buffers.stalled_);
+      client->Close();
+      CPPUNIT_ASSERT(RunLoopUntil([&] { return server.connections() == 0; }));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::size_t{0}, buffers.used_);
+    }
+  }
+
+  // Each connection stayed within its own limit, and many of them together
+  // used up the memory of the host. Other callers wait until connections that
+  // have stalled are closed, and their wait is reported.
+  void MemoryForClientsIsBounded() {
+    EnsureApplication();
+    constexpr std::size_t kReaders = 20;
+    constexpr std::size_t kBodyBytes = 8 * 1024 * 1024;
+    constexpr std::size_t kLimit = 32 * 1024 * 1024;
+    ClientBuffers buffers{.limit_ = kLimit};
+    Duration waited = Duration::zero();
+    Http1Server server(
+        {.buffers_ = &buffers,
+         .silence_ = {.unacknowledged_ = std::chrono::seconds(20)}},
+        {.on_request_ =
+             [&](std::uint64_t id, const Http1Request& request) {
+               if (request.target_ == "/small") waited = request.waited_;
+               server.Answer(
+                   id,
+                   {.status_ = 200,
+                    .body_ = std::string(
+                        request.target_ == "/small" ? 1 : kBodyBytes, 'b')});
+             },
+         .on_client_gone_ = [](std::uint64_t) {}});
+    CPPUNIT_ASSERT(server.Listen(kAddress));
+    const std::string address = "127.0.0.1:" + std::to_string(server.port());
+    std::vector<TcpConnection*> readers;
+    for (std::size_t i = 0; i < kReaders; ++i) {
+      TcpConnection* reader = TcpConnection::Open(address, {});
+      readers.push_back(reader);
+      reader->SetHandlers({.on_connected_ =
+                               [reader] {
+                                 reader->SetReading(false);
+                                 reader->Write(
+                                     "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+                               },
+                           .on_data_ = {},
+                           .on_flushed_ = {},
+                           .on_end_ = {}});
+    }
+    CPPUNIT_ASSERT(RunLoopUntil([&] { return buffers.used_ > kLimit; }));
+    TcpConnection* small = TcpConnection::Open(address, {});
+    small->SetHandlers({});
+    small->Write("GET /small HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(RunLoopUntil([&] { return !small->inbox().empty(); }));
+    CPPUNIT_ASSERT(waited > Duration::zero());
+    CPPUNIT_ASSERT(buffers.used_ <= kLimit);
+    CPPUNIT_ASSERT(buffers.paused_ > 0);
+    CPPUNIT_ASSERT(buffers.closed_for_memory_ > 0);
+    // No more are closed than the memory requires.
+    CPPUNIT_ASSERT(server.connections() > 1);
+    small->Close();
+    for (TcpConnection* reader : readers) reader->Close();
+    CPPUNIT_ASSERT(RunLoopUntil([&] { return server.connections() == 0; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, buffers.used_);
+  }
+
+  // New connections were reset while connections without a request kept their
+  // places. A request that is being answered keeps its connection.
+  void UnusedConnectionsGivePlacesUp() {
+    EnsureApplication();
+    struct Row {
+      const char* name_;
+      std::string sent_;
+      bool gives_up_;
+    };
+    const std::string request = "GET /open HTTP/1.1\r\nHost: h\r\n\r\n";
+    const Row rows[] = {
+        {"idle", "", true},
+        {"part of a header", "GET / HT", true},
+        {"part of a body", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nb",
+         true},
+        {"open request", request, false},
+    };
+    for (const Row& row : rows) {
+      constexpr std::size_t kMaxConnections = 4;
+      ClientBuffers buffers{.limit_ = 1024 * 1024};
+      Http1Server server(
+          {.max_connections_ = kMaxConnections, .buffers_ = &buffers},
+          {.on_request_ =
+               [&](std::uint64_t id, const Http1Request& received) {
+                 if (received.target_ == "/new") {
+                   server.Answer(id, {.status_ = 200});
+                 }
+               },
+           .on_client_gone_ = [](std::uint64_t) {}});
+      CPPUNIT_ASSERT(server.Listen(kAddress));
+      const std::string address = "127.0.0.1:" + std::to_string(server.port());
+      std::vector<TcpConnection*> clients;
+      for (std::size_t i = 0; i < kMaxConnections; ++i) {
+        clients.push_back(TcpConnection::Open(address, {}));
+        clients.back()->SetHandlers({});
+        if (!row.sent_.empty()) clients.back()->Write(row.sent_);
+      }
+      RunLoopUntil([] { return false; }, std::chrono::milliseconds(100));
+      CPPUNIT_ASSERT_EQUAL(kMaxConnections, server.connections());
+      bool ended = false;
+      TcpConnection* last = TcpConnection::Open(address, {});
+      last->SetHandlers({.on_connected_ = {},
+                         .on_data_ = {},
+                         .on_flushed_ = {},
+                         .on_end_ = [&](ConnectionEnd) { ended = true; }});
+      last->Write("GET /new HTTP/1.1\r\nHost: h\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(row.name_, RunLoopUntil([&] {
+                               return ended || !last->inbox().empty();
+                             }));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, row.gives_up_, !ended);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_,
+                                   std::uint64_t(row.gives_up_ ? 1 : 0),
+                                   buffers.closed_for_places_);
+      last->Close();
+      for (TcpConnection* client : clients) client->Close();
+      CPPUNIT_ASSERT(RunLoopUntil([&] { return server.connections() == 0; }));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name_, std::size_t{0}, buffers.used_);
+    }
+  }
+
   void ConnectionsAreBounded() {
     EnsureApplication();
     constexpr std::size_t kMaxConnections = 20;
