--- a/standins/platform/relay_load.cc
+++ b/standins/platform/relay_load.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "commandline/program.h"
+#include "http1/http1_codec.h"
 #include "netio/application.h"
 #include "sidecar_hosts.h"
 
@@ -64,6 +65,59 @@
   return result;
 }
 
+// Requests a second of clients that pipeline `depth` requests on each
+// connection and read all responses.
+double MeasurePipelined(const std::string& address, std::size_t connections,
+                        std::size_t requests, std::size_t depth) {
+  struct PipelinedClient {
+    TcpConnection* socket_ = nullptr;
+    std::unique_ptr<Http1ResponseReader> reader_;
+  };
+  std::vector<PipelinedClient> clients(connections);
+  std::size_t sent = 0;
+  std::size_t done = 0;
+  QEventLoop loop;
+  const auto send = [&](PipelinedClient& client) {
+    if (sent == requests) return;
+    ++sent;
+    client.socket_->Write(
+        WriteRequest({.method_ = "GET",
+                      .target_ = "/read/" + std::to_string(sent),
+                      .headers_ = {{"Host", "test.example"},
+                                   {"X-Request-Id", "p" + std::to_string(sent)},
+                                   {"X-Deadline-Ms", "1400"}}}));
+  };
+  const auto receive = [&](PipelinedClient& client) {
+    while (!client.socket_->inbox().empty()) {
+      const Http1Progress progress =
+          client.reader_->Read(client.socket_->inbox());
+      client.socket_->Consume(progress.consumed_);
+      if (!progress.complete_) return;
+      client.reader_ =
+          std::make_unique<Http1ResponseReader>(Http1Limits{}, false);
+      if (++done == requests) return loop.quit();
+      send(client);
+    }
+  };
+  QElapsedTimer clock;
+  clock.start();
+  for (PipelinedClient& client : clients) {
+    client.reader_ =
+        std::make_unique<Http1ResponseReader>(Http1Limits{}, false);
+    client.socket_ = TcpConnection::Open(address, {});
+    client.socket_->SetHandlers(
+        {.on_connected_ = {},
+         .on_data_ = [&receive, &client] { receive(client); },
+         .on_flushed_ = {},
+         .on_end_ = [&loop](ConnectionEnd) { loop.quit(); }});
+    for (std::size_t i = 0; i < depth; ++i) send(client);
+  }
+  loop.exec();
+  const double seconds = static_cast<double>(clock.nsecsElapsed()) / 1e9;
+  for (PipelinedClient& client : clients) client.socket_->Close();
+  return static_cast<double>(done) / seconds;
+}
+
 // Keeps one request with a large body in progress at an address.
 class LargeBodies {
  public:
@@ -192,6 +246,17 @@
       "%.1f us a request\n",
       Quantile(relayed, 0.99) - Quantile(direct, 0.99),
       processor_seconds * 1e6 / static_cast<double>(requests));
+  if (const auto depth = arguments["pipelined"].as<std::size_t>(); depth > 0) {
+    const double started = ProcessorSeconds(hosts[0]);
+    const double per_second =
+        MeasurePipelined(hosts[0].clients(), connections, requests, depth);
+    std::printf(
+        "pipelined, %zu deep: %.0f a second, processor time at the entry: "
+        "%.1f us a request\n",
+        depth, per_second,
+        (ProcessorSeconds(hosts[0]) - started) * 1e6 /
+            static_cast<double>(requests));
+  }
   if (arguments.count("large-mb") > 0) {
     for (const auto size :
          arguments["large-mb"].as<std::vector<std::size_t>>()) {
@@ -217,6 +282,10 @@
                  cxxopts::value<std::size_t>()->default_value("16"))(
                  "requests", "requests in all",
                  cxxopts::value<std::size_t>()->default_value("20000"))(
+                 "pipelined",
+                 "requests that each connection pipelines, measured beside; 0: "
+                 "not measured",
+                 cxxopts::value<std::size_t>()->default_value("0"))(
                  "large-mb",
                  "sizes of bodies in MB, with commas between them, beside one "
                  "of which the requests are sent again",
