--- a/apps/sidecar/main.cc
+++ b/apps/sidecar/main.cc
@@ -68,7 +68,12 @@
              .explain_ =
                  [this](const PlacementQuery& query) {
                    return shell_.Explain(query);
-                 }},
+                 },
+             .on_cut_off_ =
+                 [this](std::string_view listener, ClientCutOff reason) {
+                   shell_.LogCutOff(listener, reason);
+                 },
+             .buffers_ = &shell_.client_buffers()},
             kLinkSilence) {
     shell_.SetStore(store_.Interface());
     shell_.SetBackendAnswers([this](const AnswerBackend& answer) {
--- a/src/relaylink/peer_links.cc
+++ b/src/relaylink/peer_links.cc
@@ -51,7 +51,9 @@
 }
 
 void PeerLinks::OnAccepted(TcpConnection* socket) {
+  if (silent_.size() >= max_silent_) CloseOldestSilent();
   const std::uint64_t id = ++last_id_;
+  silent_.insert(id);
   inbound_[id].socket_ = socket;
   socket->LimitUnsentInKernel(kMaxFragmentsAhead);
   socket->SetHandlers(
@@ -62,10 +64,44 @@
            [this, id](ConnectionEnd) {
              inbound_.at(id).socket_->Close();
              inbound_.erase(id);
+             silent_.erase(id);
              handlers_.on_inbound_end_(id);
            }});
 }
 
+void PeerLinks::CloseOldestSilent() {
+  for (const std::uint64_t id : silent_) {
+    // The message of a peer that has just connected is read.
+    if (inbound_.at(id).socket_->HasPendingEnd()) continue;
+    return CloseSilent(id);
+  }
+}
+
+void PeerLinks::CloseLargestSilent() {
+  std::size_t total = 0;
+  std::size_t largest = 0;
+  std::uint64_t largest_id = 0;
+  for (const std::uint64_t id : silent_) {
+    const Link& link = inbound_.at(id);
+    const std::size_t stored =
+        link.socket_->inbox().size() + link.assembler_.size();
+    total += stored;
+    if (stored <= largest) continue;
+    largest = stored;
+    largest_id = id;
+  }
+  if (total <= max_silent_bytes_) return;
+  CloseSilent(largest_id);
+  handlers_.on_unreadable_({});
+}
+
+void PeerLinks::CloseSilent(std::uint64_t connection_id) {
+  inbound_.at(connection_id).socket_->Abort();
+  inbound_.erase(connection_id);
+  silent_.erase(connection_id);
+  handlers_.on_inbound_end_(connection_id);
+}
+
 PeerLinks::Received PeerLinks::Receive(Link& link) {
   LinkDecodeResult decoded = DecodeLinkMessage(link.socket_->inbox());
   if (decoded.malformed_) return {.malformed_ = true};
@@ -92,11 +128,16 @@
     if (received.malformed_) {
       found->second.socket_->Close();
       inbound_.erase(found);
+      silent_.erase(connection_id);
       handlers_.on_unreadable_({});
       return handlers_.on_inbound_end_(connection_id);
     }
-    if (!received.more_) return;
+    if (!received.more_) {
+      if (silent_.contains(connection_id)) CloseLargestSilent();
+      return;
+    }
     if (!received.message_) continue;
+    silent_.erase(connection_id);
     handlers_.on_inbound_(connection_id, std::move(*received.message_));
   }
 }
@@ -217,6 +258,7 @@
   if (written == Written::kTooMuchUnsent) {
     found->second.socket_->Abort();
     inbound_.erase(found);
+    silent_.erase(connection_id);
     QTimer::singleShot(0, this, [this, connection_id] {
       handlers_.on_inbound_end_(connection_id);
     });
