--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -16,47 +16,8 @@
   text << "jujubefront_relay_" << name << ' ' << value << '\n';
 }
 
-}  // namespace
-
-void RelayMetrics::Observe(const AnswerRequest& answer) {
-  const bool known = routes_.contains(answer.route_);
-  const std::string& name =
-      known || routes_.size() < kMaxMeasuredRoutes ? answer.route_ : "other";
-  Series& series = routes_[name];
-  const double seconds = InSeconds(answer.elapsed_);
-  const auto bucket =
-      std::lower_bound(kBucketBounds.begin(), kBucketBounds.end(), seconds);
-  ++series.buckets_.at(
-      static_cast<std::size_t>(bucket - kBucketBounds.begin()));
-  series.seconds_(seconds);
-  ++series.by_status_[answer.response_.status_];
-}
-
-std::string RelayMetrics::Render(const RelayState& state) const {
-  std::ostringstream text;
-  text << "jujubefront_relay_build_info{version=\"" << JUJUBEFRONT_VERSION
-       << "\",sources=\"" << SourceDigest() << "\"} 1\n";
-  for (const auto& [route, series] : routes_) {
-    const std::string label = "{route=\"" + route + "\"";
-    for (const auto& [status, count] : series.by_status_) {
-      text << "jujubefront_relay_answers_total" << label << ",status=\""
-           << status << "\"} " << count << '\n';
-    }
-    std::uint64_t total = 0;
-    for (std::size_t i = 0; i < kBucketBounds.size(); ++i) {
-      total += series.buckets_[i];
-      text << "jujubefront_relay_latency_seconds_bucket" << label << ",le=\""
-           << kBucketBounds[i] << "\"} " << total << '\n';
-    }
-    total += series.buckets_.back();
-    text << "jujubefront_relay_latency_seconds_bucket" << label
-         << ",le=\"+Inf\"} " << total << '\n'
-         << "jujubefront_relay_latency_seconds_sum" << label << "} "
-         << boost::accumulators::sum(series.seconds_) << '\n'
-         << "jujubefront_relay_latency_seconds_count" << label << "} " << total
-         << '\n';
-  }
-  const RelayCounters& counters = state.counters_;
+// Counts of requests, runs and what became of them.
+void RenderCounters(std::ostringstream& text, const RelayCounters& counters) {
   Counter(text, "requests", counters.requests_);
   Counter(text, "calls", counters.calls_);
   Counter(text, "answered", counters.answered_);
@@ -110,6 +71,9 @@
   Counter(text, "load_reports_expired", counters.load_reports_expired_);
   Counter(text, "choices_balanced", counters.choices_balanced_);
   Counter(text, "choices_earliest_finish", counters.choices_earliest_finish_);
+}
+
+void RenderGauges(std::ostringstream& text, const RelayState& state) {
   Gauge(text, "running", state.running_);
   Gauge(text, "waiting", static_cast<double>(state.waiting_.runs_.size()));
   Gauge(text, "backend_arrivals_per_second", state.arrivals_.per_second_);
@@ -130,6 +94,50 @@
     text << "jujubefront_relay_admitted{route=\"" << route << "\"} " << fraction
          << '\n';
   }
+}
+
+}  // namespace
+
+void RelayMetrics::Observe(const AnswerRequest& answer) {
+  const bool known = routes_.contains(answer.route_);
+  const std::string& name =
+      known || routes_.size() < kMaxMeasuredRoutes ? answer.route_ : "other";
+  Series& series = routes_[name];
+  const double seconds = InSeconds(answer.elapsed_);
+  const auto bucket =
+      std::lower_bound(kBucketBounds.begin(), kBucketBounds.end(), seconds);
+  ++series.buckets_.at(
+      static_cast<std::size_t>(bucket - kBucketBounds.begin()));
+  series.seconds_(seconds);
+  ++series.by_status_[answer.response_.status_];
+}
+
+std::string RelayMetrics::Render(const RelayState& state) const {
+  std::ostringstream text;
+  text << "jujubefront_relay_build_info{version=\"" << JUJUBEFRONT_VERSION
+       << "\",sources=\"" << SourceDigest() << "\"} 1\n";
+  for (const auto& [route, series] : routes_) {
+    const std::string label = "{route=\"" + route + "\"";
+    for (const auto& [status, count] : series.by_status_) {
+      text << "jujubefront_relay_answers_total" << label << ",status=\""
+           << status << "\"} " << count << '\n';
+    }
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < kBucketBounds.size(); ++i) {
+      total += series.buckets_[i];
+      text << "jujubefront_relay_latency_seconds_bucket" << label << ",le=\""
+           << kBucketBounds[i] << "\"} " << total << '\n';
+    }
+    total += series.buckets_.back();
+    text << "jujubefront_relay_latency_seconds_bucket" << label
+         << ",le=\"+Inf\"} " << total << '\n'
+         << "jujubefront_relay_latency_seconds_sum" << label << "} "
+         << boost::accumulators::sum(series.seconds_) << '\n'
+         << "jujubefront_relay_latency_seconds_count" << label << "} " << total
+         << '\n';
+  }
+  RenderCounters(text, state.counters_);
+  RenderGauges(text, state);
   return text.str();
 }
 
