--- a/src/quota/tests/quota_tests.cc
+++ b/src/quota/tests/quota_tests.cc
@@ -1,14 +1,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <deque>
-#include <map>
-#include <numeric>
 #include <string>
 #include <vector>
 
 #include "base/hashing.h"
 #include "quota/quota.h"
-#include "quota/returns.h"
 
 namespace jujubefront {
 namespace {
@@ -37,27 +34,11 @@
   double cut_at_ = 5.0;
   // In second 9 this share of the nodes restarts without its counts.
   double restart_share_ = 0.0;
-  double burst_ = 1.0;  // as a multiple of the limit's requests a second
-  // From second 8 on all demand arrives at one of the zones, the next one every
-  // so many seconds; 0: it does not move.
-  int moves_every_ = 0;
-  int zones_ = 4;
-  // Time for which clients wait; rejected ones return as told. 0: they do not.
-  Duration client_time_ = Duration::zero();
-  std::uint64_t seed_ = 7;
 };
 
 struct Outcome {
-  double worst_excess_ = -1e9;   // over what the rule allows, in any window
-  double served_share_ = 0.0;    // of the demand below the limit
-  double rejected_share_ = 0.0;  // of all arrivals
-  // Sent of rate_per_s times the window, in the worst window of the rise.
-  double worst_window_ = 1e9;
-  double within_share_ = 0.0;  // sent of rate_per_s, over the whole rise
-  // Requests that returned at the promised time, and those that were sent.
-  double promised_ = 0.0;
-  double kept_ = 0.0;
-  double returned_ = 0.0;  // all requests that returned
+  double worst_excess_ = -1e9;  // over what the rule allows, in any window
+  double served_share_ = 0.0;   // of the demand below the limit
 };
 
 // Nodes that count one workspace's requests and exchange sums.
@@ -83,10 +64,8 @@
   struct Node {
     QuotaMeter meter_;
     std::deque<QuotaUse> reports_;  // newest last
-    QuotaForecast forecast_;
     bool restarted_ = false;
-    QuotaSums reported_;
-    QuotaSums before_;  // reported by the process before the restart
+    double used_before_ = 0.0;  // by the process before the restart
   };
 
   bool IsCut(std::size_t index, double second) const {
@@ -104,24 +83,16 @@
     const double usual = load_.limit_ * load_.usual_;
     const double even = usual / load_.nodes_;
     if (second < 8.0 || second >= 16.0) return even;
-    if (load_.moves_every_ > 0) {
-      const int zone =
-          static_cast<int>(second - 8.0) / load_.moves_every_ % load_.zones_;
-      return static_cast<int>(index) % load_.zones_ == zone
-                 ? even * load_.rise_ * load_.zones_
-                 : 0.0;
-    }
     if (!load_.at_one_node_) return even * load_.rise_;
     return index == 0 ? even + usual * (load_.rise_ - 1.0) : even;
   }
 
   void RunSlot(double second) {
     const QuotaRule rule{.per_second_ = LimitAt(second),
-                         .burst_ = LimitAt(second) * load_.burst_};
+                         .burst_ = LimitAt(second)};
     sent_.push_back(0.0);
     arrived_.push_back(0.0);
     for (int step = 0; step < kStepsPerSlot; ++step) {
-      ArriveReturned(rule, second);
       for (std::size_t i = 0; i < nodes_.size(); ++i) {
         const double expected = DemandAt(i, second) * 0.01;
         for (double left = expected; left > 0.0; left -= 1.0) {
@@ -131,29 +102,6 @@
     }
   }
 
-  // A rejected request that returns.
-  struct Return {
-    std::size_t index_ = 0;
-    Duration away_ = Duration::zero();
-  };
-
-  void ArriveReturned(const QuotaRule& rule, double second) {
-    ++step_;
-    const auto end = returns_.upper_bound(step_);
-    const std::multimap<int, Return> due(returns_.begin(), end);
-    returns_.erase(returns_.begin(), end);
-    for (const auto& [step, due_return] : due) {
-      Arrive(due_return.index_, rule, second, due_return.away_);
-    }
-  }
-
-  static double Sum(const std::vector<double>& slots, std::size_t from,
-                    std::size_t to) {
-    return std::accumulate(slots.begin() + static_cast<std::ptrdiff_t>(from),
-                           slots.begin() + static_cast<std::ptrdiff_t>(to),
-                           0.0);
-  }
-
   // What was sent of the arrivals that the limit allows, window by window.
   void EvaluateServedShare() {
     double owed = 0.0;
@@ -171,47 +119,22 @@
       served += std::min({sent, arrived, allowed});
     }
     outcome_.served_share_ = served / owed;
-    const double arrived = Sum(arrived_, 0, arrived_.size());
-    outcome_.rejected_share_ = 1.0 - Sum(sent_, 0, sent_.size()) / arrived;
-    for (std::size_t i = 8 * 4; i + kQuotaSlots <= 16 * 4; ++i) {
-      outcome_.worst_window_ =
-          std::min(outcome_.worst_window_,
-                   Sum(sent_, i, i + kQuotaSlots) / (load_.limit_ * 5.0));
-    }
-    outcome_.within_share_ = Sum(sent_, 8 * 4, 16 * 4) / (load_.limit_ * 8.0);
   }
 
-  void Arrive(std::size_t index, const QuotaRule& rule, double second,
-              Duration away = Duration::zero()) {
+  void Arrive(std::size_t index, const QuotaRule& rule, double second) {
     Node& node = nodes_[index];
     arrived_.back() += 1.0;
     const bool knows = !fleet_.empty() && !node.restarted_;
     const QuotaUse own = UseOf(node.meter_);
-    QuotaKnowledge knowledge{
-        .fleet_ = knows ? SumFor(index, second) : own,
-        .forecast_ = knows ? &node.forecast_ : nullptr,
-        // Sums count for a second.
-        .cut_off_ = IsCut(index, second - 1.0) || node.restarted_,
-        .fresh_ = node.restarted_};
+    QuotaKnowledge knowledge{.fleet_ = knows ? SumFor(index, second) : own,
+                             .cut_off_ = IsCut(index, second)};
     knowledge.node_share_ = node.meter_.node_share_ > 0.0
                                 ? node.meter_.node_share_
                                 : 1.0 / load_.nodes_;
-    const Duration first_longest = load_.client_time_ / 3;
-    const bool is_promised = IsPromisedReturn(away, first_longest);
-    const bool is_sent = CountRequest(node.meter_, rule, options_, knowledge,
-                                      NextUnit(random_), is_promised);
-    if (is_sent) sent_.back() += 1.0;
-    if (away > Duration::zero()) outcome_.returned_ += 1.0;
-    if (is_promised) outcome_.promised_ += 1.0;
-    if (is_promised && is_sent) outcome_.kept_ += 1.0;
-    const Duration longest = (load_.client_time_ - away) / 3;
-    if (is_sent || longest < milliseconds(100)) return;
-    const ReturnTime time =
-        PromiseReturn(node.meter_, options_, knowledge, away, longest,
-                      first_longest, NextUnit(random_));
-    returns_.emplace(
-        step_ + static_cast<int>(time.wait_ / milliseconds(10)) + 1,
-        Return{.index_ = index, .away_ = away + time.wait_});
+    if (CountRequest(node.meter_, rule, options_, knowledge,
+                     NextUnit(random_))) {
+      sent_.back() += 1.0;
+    }
   }
 
   // What a node knows of the fleet: its sums are some slots old, and stop at
@@ -224,8 +147,6 @@
     QuotaUse sum;
     QuotaUse cut;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
-      // As TickQuotas does: a report is made when a slot has ended.
-      AdvanceSlot(nodes_[i].meter_, options_);
       const QuotaUse use = UseOf(nodes_[i].meter_);
       // The last report of a node that is cut off goes on counting.
       nodes_[i].reports_.push_back(IsCut(i, second) ? nodes_[i].reports_.back()
@@ -236,13 +157,9 @@
       total.last_per_second_ += last.last_per_second_;
       total.usual_per_second_ += last.usual_per_second_;
       total.used_ += last.used_;
-      AdvanceSums(nodes_[i].reported_);
-      AdvanceSums(nodes_[i].before_);
-      RecordSum(nodes_[i].reported_, use);
-      // Reports of a process that has ended count for a window.
-      if (second >= 9.0 && second - 9.0 <= 5.0) {
-        total.used_ += UseAfterEnd(nodes_[i].before_).used_;
-      }
+      // Reports of a process that has restarted count for a window.
+      if (second - 9.0 <= 5.0) total.used_ += nodes_[i].used_before_;
+      AdvanceSlot(nodes_[i].meter_, options_);
       if (second >= 9.75) nodes_[i].restarted_ = false;
     }
     if (cut.per_second_ > 0.0) {
@@ -254,9 +171,8 @@
       const QuotaUse assumed =
           second < load_.cut_at_ + 1.0
               ? cut
-              : AssumeCutOff(
-                    cut, {.per_second_ = limit, .burst_ = limit * load_.burst_},
-                    options_, share);
+              : AssumeCutOff(cut, {.per_second_ = limit, .burst_ = limit},
+                             options_, share);
       sum.per_second_ += cut.per_second_;
       sum.last_per_second_ += cut.last_per_second_;
       sum.usual_per_second_ += cut.usual_per_second_;
@@ -265,17 +181,7 @@
     fleet_.push_back(sum);
     if (fleet_.size() > kReportSlots) fleet_.pop_front();
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
-      Node& node = nodes_[i];
-      if (!IsCut(i, second) && !node.restarted_) {
-        UpdateNodeShare(node.meter_, options_, fleet_.front());
-        RecordSum(node.forecast_.sums_, fleet_.front());
-      }
-      const double limit = LimitAt(second + 0.25);
-      AdvanceForecast(
-          node.forecast_,
-          {.per_second_ = limit, .burst_ = limit * load_.burst_}, options_,
-          SumFor(i, second),
-          second >= load_.cut_at_ + 1.0 ? 1.0 - load_.cut_share_ : 1.0);
+      if (!IsCut(i, second)) UpdateNodeShare(nodes_[i].meter_, fleet_.front());
     }
     if (second < load_.cut_at_) before_cut_ = fleet_.front();
   }
@@ -284,10 +190,8 @@
     const auto count = static_cast<std::size_t>(
         load_.restart_share_ * static_cast<double>(nodes_.size()));
     for (std::size_t i = nodes_.size() - count; i < nodes_.size(); ++i) {
-      nodes_[i].before_ = nodes_[i].reported_;
-      nodes_[i].reported_ = {};
+      nodes_[i].used_before_ = UseOf(nodes_[i].meter_).used_;
       nodes_[i].meter_ = {};
-      nodes_[i].forecast_ = {};
       nodes_[i].restarted_ = true;
     }
   }
@@ -302,7 +206,7 @@
     const bool lowered = load_.new_limit_ > 0.0 && second >= 13.0;
     const double limit = lowered ? load_.new_limit_ : load_.limit_;
     const double allowed =
-        limit * (5.0 + load_.burst_) * (1.0 + kAllowedOver) + kAllowedExtra;
+        (limit * 5.0 + limit) * (1.0 + kAllowedOver) + kAllowedExtra;
     outcome_.worst_excess_ = std::max(outcome_.worst_excess_, sent - allowed);
   }
 
@@ -313,28 +217,13 @@
   QuotaUse before_cut_;
   std::vector<double> sent_;  // by slot
   std::vector<double> arrived_;
-  RandomState random_{load_.seed_};
-  int step_ = 0;                        // of 10 ms
-  std::multimap<int, Return> returns_;  // by step
+  RandomState random_{7};
   Outcome outcome_;
 };
 
-struct FleetCase {
-  int nodes_ = 0;
-  std::uint64_t seed_ = 0;
-};
-
-// Sizes of fleets, with seeds. Returns that came together exceeded the limit
-// with 16 nodes and seed 5, a late sight of the rise with 300 nodes and
-// seed 23.
-constexpr FleetCase kFleetCases[] = {{16, 7},  {16, 5},  {79, 7},
-                                     {79, 23}, {300, 7}, {300, 23}};
-
 class QuotaTests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QuotaTests);
   CPPUNIT_TEST(FleetKeepsTheLimitInEveryWindow);
-  CPPUNIT_TEST(CompetingWorkspacesGetTheirLimit);
-  CPPUNIT_TEST(ReturningRequestsFindThePromisedRoom);
   CPPUNIT_TEST(AdmitsAllWhileTheWindowHasRoom);
   CPPUNIT_TEST_SUITE_END();
 
@@ -391,115 +280,6 @@
     }
   }
 
-  // Guards against nodes that leave a part of the limit unused while a
-  // workspace asks for more than it, against rejections of a workspace whose
-  // demand moves between nodes or stays within its limit, and against use
-  // beyond the limit where many nodes see a rise late or have just started.
-  void CompetingWorkspacesGetTheirLimit() {
-    struct Row {
-      const char* name_;
-      Load load_;
-      double max_rejected_ = 0.0;  // of the demand
-      double min_within_ = 0.0;    // sent of the limit during the rise
-    };
-    // In the first second after a move, nodes cannot tell it from a rise, and
-    // nodes that are cut off do not know each other's requests.
-    const Row rows[] = {
-        {"usual demand", {}, 0.002},
-        {"usual demand, small burst", {.burst_ = 0.1}, 0.01},
-        {"usual demand, small", {.limit_ = 10.0}, 0.01},
-        {"rises to 0.9 of the limit", {.rise_ = 1.44}, 0.01},
-        {"rises to 0.9, small burst", {.rise_ = 1.44, .burst_ = 0.1}, 0.015},
-        {"moves to a zone", {.moves_every_ = 8}, 0.01},
-        {"moves between zones", {.moves_every_ = 2}, 0.035},
-        {"half restarted, usual demand", {.restart_share_ = 0.5}, 0.01},
-        {"zone cut off, usual demand",
-         {.cut_share_ = 0.25, .cut_at_ = 9.0},
-         0.03},
-        {"rises 4 times", {.rise_ = 4.0}, 1.0, 0.9},
-        {"rises 7.5 times", {.rise_ = 7.5}, 1.0, 0.9},
-        {"rises 4 times, small burst", {.rise_ = 4.0, .burst_ = 0.1}, 1.0, 0.9},
-        {"rises 7.5 times, small burst",
-         {.rise_ = 7.5, .burst_ = 0.1},
-         1.0,
-         0.9},
-        {"rises 7.5 times, small", {.limit_ = 10.0, .rise_ = 7.5}, 1.0, 0.9},
-        {"rises 7.5 times, moves between zones",
-         {.rise_ = 7.5, .moves_every_ = 2},
-         1.0,
-         0.9},
-        {"rises 4 times, half restarted",
-         {.rise_ = 4.0, .restart_share_ = 0.5},
-         1.0,
-         0.9},
-        {"rises 7.5 times, half restarted",
-         {.rise_ = 7.5, .restart_share_ = 0.5},
-         1.0,
-         0.9},
-        {"rises 4 times, zone cut off",
-         {.rise_ = 4.0, .cut_share_ = 0.25, .cut_at_ = 9.0},
-         1.0,
-         0.9},
-        {"rises 7.5 times, zone cut off",
-         {.rise_ = 7.5, .cut_share_ = 0.25, .cut_at_ = 9.0},
-         1.0,
-         0.9},
-    };
-    for (const FleetCase& fleet : kFleetCases) {
-      for (const Row& row : rows) {
-        Load load = row.load_;
-        load.nodes_ = fleet.nodes_;
-        load.seed_ = fleet.seed_;
-        const Outcome outcome = QuotaFleet(load).Run();
-        const std::string figures =
-            std::to_string(fleet.nodes_) + " nodes, " + row.name_ + ": " +
-            std::to_string(outcome.worst_excess_) + " over, rejected " +
-            std::to_string(outcome.rejected_share_) + ", sent of the limit " +
-            std::to_string(outcome.within_share_) + ", in the worst window " +
-            std::to_string(outcome.worst_window_);
-        CPPUNIT_ASSERT_MESSAGE(figures, outcome.worst_excess_ <= 0.0);
-        CPPUNIT_ASSERT_MESSAGE(figures,
-                               outcome.rejected_share_ <= row.max_rejected_);
-        CPPUNIT_ASSERT_MESSAGE(figures,
-                               outcome.within_share_ >= row.min_within_);
-        // The rise may use up the window in its first second.
-        CPPUNIT_ASSERT_MESSAGE(
-            figures, row.min_within_ == 0.0 || outcome.worst_window_ >= 0.65);
-      }
-    }
-  }
-
-  // Guards against callers that are told to return to a window without room:
-  // at several times the limit, a time at random has most of them rejected
-  // again. Their returns also raise the demand before the sums show it.
-  void ReturningRequestsFindThePromisedRoom() {
-    for (const FleetCase& fleet : kFleetCases) {
-      for (const double rise : {4.0, 7.5}) {
-        for (const int client_seconds : {1, 3, 8}) {
-          const Outcome outcome =
-              QuotaFleet({.nodes_ = fleet.nodes_,
-                          .rise_ = rise,
-                          .client_time_ = std::chrono::seconds(client_seconds),
-                          .seed_ = fleet.seed_})
-                  .Run();
-          const std::string figures =
-              std::to_string(fleet.nodes_) + " nodes, " + std::to_string(rise) +
-              " times, clients wait " + std::to_string(client_seconds) +
-              " s: " + std::to_string(outcome.worst_excess_) + " over, " +
-              std::to_string(outcome.returned_) + " returned, of these " +
-              std::to_string(outcome.promised_) + " as promised, sent " +
-              std::to_string(outcome.kept_) + ", sent of the limit " +
-              std::to_string(outcome.within_share_);
-          CPPUNIT_ASSERT_MESSAGE(figures, outcome.worst_excess_ <= 0.0);
-          CPPUNIT_ASSERT_MESSAGE(figures, outcome.promised_ > 0.0);
-          CPPUNIT_ASSERT_MESSAGE(figures,
-                                 outcome.kept_ >= 0.7 * outcome.promised_);
-          CPPUNIT_ASSERT_MESSAGE(figures, outcome.within_share_ >= 0.9);
-        }
-      }
-    }
-  }
-
   void AdmitsAllWhileTheWindowHasRoom() {
     struct Row {
       double per_second_;
--- a/src/relay/internal/entry.cc
+++ b/src/relay/internal/entry.cc
@@ -56,7 +56,6 @@
   if (workspace != nullptr) {
     request.workspace_ = workspace->name_;
     request.workspace_priority_ = workspace->priority_;
-    request.quota_slots_ = QuotaSlotsOf(step, *workspace);
   }
   if (route.needs_key_) request.key_ = arrived.key_;
   request.objective_at_ = step.now_ + route.latency_objective_;
@@ -156,14 +155,11 @@
     return AnswerOnArrival(step, arrived, kUnauthorized, Duration::zero(),
                            arrived.key_.known() ? "unknown key" : "no key");
   }
-  if (key.workspace_ != nullptr) {
-    const ClientWait wait = EvaluateClientWait(step, arrived, *route);
-    if (!CountWithinQuota(step, *key.workspace_, wait)) {
-      ++state.counters_.over_quota_;
-      return AnswerOnArrival(step, arrived, kTooManyRequests,
-                             FindQuotaReturn(step, *key.workspace_, wait),
-                             "workspace is over its quota");
-    }
+  if (key.workspace_ != nullptr && !CountWithinQuota(step, *key.workspace_)) {
+    ++state.counters_.over_quota_;
+    return AnswerOnArrival(step, arrived, kTooManyRequests,
+                           RetryAfterOverQuota(step, arrived, *route),
+                           "workspace is over its quota");
   }
   const std::uint64_t id = arrived.request_id_;
   OpenRequest& request = step.state_.requests_[id] =
--- a/src/relay/internal/entry.h
+++ b/src/relay/internal/entry.h
@@ -30,10 +30,9 @@
 // Answers a request that is not accepted at all.
 void AnswerOnArrival(RelayStep& step, const RequestArrived& arrived, int status,
                      Duration retry_after, std::string_view why);
-// How long the client of a request waits.
-ClientWait EvaluateClientWait(const RelayStep& step,
-                              const RequestArrived& arrived,
-                              const RouteRule& route);
+// Retry-After for a request over its workspace's quota.
+Duration RetryAfterOverQuota(RelayStep& step, const RequestArrived& arrived,
+                             const RouteRule& route);
 
 // Sends.
 
--- a/src/relay/internal/entry_answers.cc
+++ b/src/relay/internal/entry_answers.cc
@@ -70,21 +70,17 @@
                                   step.options_.service_);
 }
 
-ClientWait EvaluateClientWait(const RelayStep& step,
-                              const RequestArrived& arrived,
-                              const RouteRule& route) {
-  const Duration left = arrived.remaining_.value_or(route.timeout_);
-  const auto demand = step.state_.demands_.find(route.name_);
-  const Duration usual = demand == step.state_.demands_.end()
-                             ? left
-                             : std::max(left, demand->second.usual_time_left_);
-  const auto honoured = [&](Duration time) {
-    return std::max(kMinRetryAfter, std::min(time / kRetryAfterDivisor,
-                                             step.options_.quota_.window_));
-  };
-  return {.away_ = usual - left,
-          .longest_ = honoured(left),
-          .first_longest_ = honoured(usual)};
+// Late in the time for which clients wait, as the window of the quota is
+// longer.
+Duration RetryAfterOverQuota(RelayStep& step, const RequestArrived& arrived,
+                             const RouteRule& route) {
+  const Duration left =
+      arrived.remaining_.value_or(route.timeout_) / kRetryAfterDivisor;
+  const Duration longest =
+      std::max(kMinRetryAfter, std::min(left, step.options_.quota_.window_));
+  const double unit = NextUnit(step.state_.random_);
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(longest.count()) * (0.5 + unit / 2)));
 }
 
 void Finish(RelayStep& step, OpenRequest& request, Http1Response response,
@@ -105,7 +101,6 @@
 
 void Refuse(RelayStep& step, OpenRequest& request, std::string_view why) {
   ++step.state_.counters_.refused_;
-  ReturnUnusedQuota(step, request);
   LogOutcome(step, DecisionKind::kRefused, request, 503, why);
   Finish(step, request, MakeNodeResponse(503, RetryAfterFor(step, request)),
          true);
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -302,25 +302,9 @@
 
 // Keys and quotas of workspaces.
 
-// How long a client waits, as far as its deadline tells.
-struct ClientWait {
-  Duration away_ = Duration::zero();  // since it first sent the request
-  // Longest Retry-After that it honours now, and at its first send.
-  Duration longest_ = Duration::zero();
-  Duration first_longest_ = Duration::zero();
-};
-
 // Counts a client's request, and whether it may be sent without exceeding the
 // quota of its workspace.
-bool CountWithinQuota(RelayStep& step, const Workspace& workspace,
-                      const ClientWait& wait);
-// Time after which a request over the quota should return.
-Duration FindQuotaReturn(RelayStep& step, const Workspace& workspace,
-                         const ClientWait& wait);
-// Slots of the workspace's meter so far, for ReturnUnusedQuota.
-std::uint32_t QuotaSlotsOf(const RelayStep& step, const Workspace& workspace);
-// A request that was counted within the quota has not run.
-void ReturnUnusedQuota(RelayStep& step, const OpenRequest& request);
+bool CountWithinQuota(RelayStep& step, const Workspace& workspace);
 // Reports the use of quotas, or adds up the reports of the zone's hosts.
 void TickQuotas(RelayStep& step);
 void OnQuotaReport(RelayStep& step, std::uint64_t connection_id,
--- a/src/relay/internal/workspaces.cc
+++ b/src/relay/internal/workspaces.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 
 #include "base/hashing.h"
-#include "quota/returns.h"
 #include "relay/internal/relay_step.h"
 #include "relay/internal/zone_sums.h"
 
@@ -99,81 +98,13 @@
   }
 }
 
-// Adds a host's report to the sums that it has reported before.
-void RecordSums(KnownQuotaReport& known) {
-  std::erase_if(known.sums_, [&](const auto& entry) {
-    return !known.report_.uses_.contains(entry.first);
-  });
-  for (const auto& [workspace, use] : known.report_.uses_) {
-    RecordSum(known.sums_[workspace], use);
-  }
-}
-
-// Part of the known hosts to which there is a connection.
-double ReportingShare(const RelayStep& step) {
-  const auto& peers = step.state_.peers_;
-  if (peers.empty()) return 1.0;
-  const auto reporting =
-      std::count_if(peers.begin(), peers.end(), [&](const auto& entry) {
-        return entry.second.connected_ || entry.first == step.options_.address_;
-      });
-  return static_cast<double>(reporting) / static_cast<double>(peers.size());
-}
-
-void BeginForecastSlot(RelayStep& step, std::uint64_t workspace,
-                       QuotaForecast& forecast) {
-  const auto rules = RulesByHash(step.state_.table_);
-  const auto rule = rules.find(workspace);
-  if (rule == rules.end()) return;
-  AdvanceForecast(forecast, rule->second, step.options_.quota_,
-                  step.state_.quota_.fleet_.at(workspace),
-                  ReportingShare(step));
-}
-
 void SetFleetUse(RelayStep& step, std::map<std::uint64_t, QuotaUse> uses) {
   QuotaState& quota = step.state_.quota_;
   quota.fleet_ = std::move(uses);
   quota.fleet_at_ = step.now_;
   for (auto& [workspace, meter] : quota.meters_) {
     const auto fleet = quota.fleet_.find(workspace);
-    if (fleet == quota.fleet_.end()) continue;
-    UpdateNodeShare(meter, step.options_.quota_, fleet->second);
-  }
-  std::erase_if(quota.forecasts_, [&](const auto& entry) {
-    return !quota.fleet_.contains(entry.first);
-  });
-  for (const auto& [workspace, use] : quota.fleet_) {
-    const auto [forecast, is_new] = quota.forecasts_.try_emplace(workspace);
-    RecordSum(forecast->second.sums_, use);
-    if (is_new) BeginForecastSlot(step, workspace, forecast->second);
-  }
-}
-
-// Whether a newer process of the same host has reported.
-bool IsSuperseded(const QuotaState& quota,
-                  const std::pair<std::string, std::uint64_t>& process,
-                  const KnownQuotaReport& known) {
-  const auto first = quota.hosts_.lower_bound({process.first, 0});
-  for (auto other = first;
-       other != quota.hosts_.end() && other->first.first == process.first;
-       ++other) {
-    if (other->second.received_at_ > known.received_at_) return true;
-  }
-  return false;
-}
-
-// Adds what the hosts of the zone have reported. The requests of a process that
-// has restarted leave the window as they would have without the restart; its
-// demand is that of the new process.
-void AddHosts(const QuotaState& quota, QuotaReport& zone) {
-  for (const auto& [process, known] : quota.hosts_) {
-    if (!IsSuperseded(quota, process, known)) {
-      Add(zone.uses_, known.report_);
-      continue;
-    }
-    for (const auto& [workspace, sums] : known.sums_) {
-      Add(zone.uses_, workspace, UseAfterEnd(sums));
-    }
+    if (fleet != quota.fleet_.end()) UpdateNodeShare(meter, fleet->second);
   }
 }
 
@@ -187,7 +118,7 @@
                    .zone_ = step.options_.zone_,
                    .sequence_ = ++quota.sequence_,
                    .uses_ = OwnUses(quota)};
-  AddHosts(quota, zone);
+  for (const auto& [host, known] : quota.hosts_) Add(zone.uses_, known.report_);
   QuotaReport fleet = zone;
   fleet.scope_ = QuotaScope::kFleet;
   for (const auto& [name, known] : quota.zones_) AddZone(step, known, fleet);
@@ -204,23 +135,6 @@
   }
 }
 
-// Begins a slot of all that was received from other nodes.
-void AdvanceReceived(RelayStep& step) {
-  QuotaState& quota = step.state_.quota_;
-  for (auto& [process, known] : quota.hosts_) {
-    for (auto& [workspace, sums] : known.sums_) AdvanceSums(sums);
-  }
-  const std::map<std::uint64_t, QuotaRule> rules =
-      RulesByHash(step.state_.table_);
-  const double reporting = ReportingShare(step);
-  for (auto& [workspace, forecast] : quota.forecasts_) {
-    const auto rule = rules.find(workspace);
-    if (rule == rules.end()) continue;
-    AdvanceForecast(forecast, rule->second, step.options_.quota_,
-                    quota.fleet_.at(workspace), reporting);
-  }
-}
-
 // Ends the slots of all meters that are over. Returns whether one ended.
 bool AdvanceMeters(RelayStep& step) {
   QuotaState& quota = step.state_.quota_;
@@ -237,7 +151,6 @@
       AdvanceSlot(meter, step.options_.quota_);
     }
   }
-  for (std::int64_t i = 0; i < slots; ++i) AdvanceReceived(step);
   std::erase_if(quota.meters_,
                 [](const auto& entry) { return IsIdle(entry.second); });
   return true;
@@ -259,68 +172,23 @@
          static_cast<double>(std::max(kMinFleet, step.state_.peers_.size()));
 }
 
-QuotaKnowledge KnowledgeOf(const RelayStep& step, const Workspace& workspace,
-                           const QuotaMeter& meter) {
-  const QuotaState& quota = step.state_.quota_;
-  const std::uint64_t hash = HashWorkspace(workspace.name_);
-  const bool is_alone = step.state_.peers_.size() <= 1;
-  const auto forecast = quota.forecasts_.find(hash);
-  return {.fleet_ = FleetUse(quota, hash),
-          .forecast_ =
-              forecast == quota.forecasts_.end() ? nullptr : &forecast->second,
-          .node_share_ = NodeShare(step, meter),
-          .alone_ = is_alone,
-          .cut_off_ = !is_alone && step.now_ - quota.fleet_at_ >
-                                       step.options_.quota_.max_sum_age_,
-          .fresh_ = quota.fleet_at_ == Timestamp{}};
-}
-
 }  // namespace
 
-bool CountWithinQuota(RelayStep& step, const Workspace& workspace,
-                      const ClientWait& wait) {
+bool CountWithinQuota(RelayStep& step, const Workspace& workspace) {
   const QuotaRule rule = RuleOf(workspace);
   if (rule.per_second_ <= 0.0) return true;
-  QuotaMeter& meter =
-      step.state_.quota_.meters_[HashWorkspace(workspace.name_)];
-  const bool is_promised = IsPromisedReturn(wait.away_, wait.first_longest_);
-  const bool within = CountRequest(meter, rule, step.options_.quota_,
-                                   KnowledgeOf(step, workspace, meter),
-                                   NextUnit(step.state_.random_), is_promised);
-  if (is_promised) {
-    RelayCounters& counters = step.state_.counters_;
-    ++(within ? counters.quota_returns_admitted_
-              : counters.quota_returns_rejected_);
-  }
-  return within;
-}
-
-Duration FindQuotaReturn(RelayStep& step, const Workspace& workspace,
-                         const ClientWait& wait) {
-  QuotaMeter& meter =
-      step.state_.quota_.meters_[HashWorkspace(workspace.name_)];
-  const ReturnTime time = PromiseReturn(
-      meter, step.options_.quota_, KnowledgeOf(step, workspace, meter),
-      wait.away_, wait.longest_, wait.first_longest_,
+  QuotaState& quota = step.state_.quota_;
+  const std::uint64_t hash = HashWorkspace(workspace.name_);
+  QuotaMeter& meter = quota.meters_[hash];
+  const bool is_alone = step.state_.peers_.size() <= 1;
+  return CountRequest(
+      meter, rule, step.options_.quota_,
+      {.fleet_ = FleetUse(quota, hash),
+       .node_share_ = NodeShare(step, meter),
+       .alone_ = is_alone,
+       .cut_off_ = !is_alone && step.now_ - quota.fleet_at_ >
+                                    step.options_.quota_.max_sum_age_},
       NextUnit(step.state_.random_));
-  if (time.is_promised_) ++step.state_.counters_.quota_returns_promised_;
-  return time.wait_;
-}
-
-std::uint32_t QuotaSlotsOf(const RelayStep& step, const Workspace& workspace) {
-  const auto meter =
-      step.state_.quota_.meters_.find(HashWorkspace(workspace.name_));
-  return meter == step.state_.quota_.meters_.end() ? 0 : meter->second.slots_;
-}
-
-void ReturnUnusedQuota(RelayStep& step, const OpenRequest& request) {
-  if (request.workspace_.empty()) return;
-  const auto meter =
-      step.state_.quota_.meters_.find(HashWorkspace(request.workspace_));
-  if (meter == step.state_.quota_.meters_.end()) return;
-  if (ReturnUnused(meter->second, request.quota_slots_)) {
-    ++step.state_.counters_.quota_unused_;
-  }
 }
 
 void TickQuotas(RelayStep& step) {
@@ -355,11 +223,8 @@
         // The last report of an earlier process counts until it expires: what
         // that process sent is part of the window.
         const Peer& peer = EnsurePeer(step, link->second.peer_);
-        KnownQuotaReport& known =
-            quota.hosts_[{peer.address_, peer.status_.boot_}];
-        known.report_ = std::move(report);
-        known.received_at_ = step.now_;
-        RecordSums(known);
+        quota.hosts_[{peer.address_, peer.status_.boot_}] = {
+            .report_ = std::move(report), .received_at_ = step.now_};
       }
       return;
     case QuotaScope::kZone:
--- a/src/relay/relay_types.h
+++ b/src/relay/relay_types.h
@@ -134,8 +134,6 @@
   std::string service_;
   std::string workspace_;  // of the client's key; empty: it sent none
   Fingerprint key_;        // unknown: the route needs none
-  // Slots of its workspace's meter when it was counted as sent.
-  std::uint32_t quota_slots_ = 0;
   bool idempotent_ = false;
   bool is_call_ = false;
   std::uint32_t workspace_priority_ = 0;
@@ -232,7 +230,6 @@
   Timestamp received_at_;
   // Part of the fleet's demand when the report was new, by workspace.
   std::map<std::uint64_t, double> demand_shares_;
-  std::map<std::uint64_t, QuotaSums> sums_;  // of a host, by workspace
 };
 
 // Use of the workspaces' quotas.
@@ -242,10 +239,9 @@
   Timestamp advanced_at_;  // when the current slot of the meters began
   // Of the zone's hosts, by address and process.
   std::map<std::pair<std::string, std::uint64_t>, KnownQuotaReport> hosts_;
-  std::map<std::string, KnownQuotaReport> zones_;     // other zones
-  std::map<std::uint64_t, QuotaUse> fleet_;           // sums over all nodes
-  Timestamp fleet_at_;                                // when they were received
-  std::map<std::uint64_t, QuotaForecast> forecasts_;  // by workspace
+  std::map<std::string, KnownQuotaReport> zones_;  // other zones
+  std::map<std::uint64_t, QuotaUse> fleet_;        // sums over all nodes
+  Timestamp fleet_at_;                             // when they were received
   std::uint64_t sequence_ = 0;
   bool reported_none_ = false;  // the last report was empty
 };
@@ -416,10 +412,6 @@
   std::uint64_t unrouted_ = 0;
   std::uint64_t key_rejected_ = 0;
   std::uint64_t over_quota_ = 0;
-  std::uint64_t quota_returns_promised_ = 0;
-  std::uint64_t quota_returns_admitted_ = 0;
-  std::uint64_t quota_returns_rejected_ = 0;
-  std::uint64_t quota_unused_ = 0;  // within the quota, but not run
   std::uint64_t quota_reports_sent_ = 0;
   std::uint64_t sends_ = 0;
   std::uint64_t resends_ = 0;
--- a/src/relay/tests/workspace_tests.cc
+++ b/src/relay/tests/workspace_tests.cc
@@ -62,9 +62,6 @@
   CPPUNIT_TEST(WithdrawnKeysAreRefusedBeforeEachSend);
   CPPUNIT_TEST(RequestsOverTheQuotaAreRefused);
   CPPUNIT_TEST(UseIsCountedOverTheWindow);
-  CPPUNIT_TEST(RequestsThatDidNotRunLeaveTheQuotaUnused);
-  CPPUNIT_TEST(RejectedRequestsAreToldATimeThatTheyHonour);
-  CPPUNIT_TEST(UseOfAnEndedProcessLeavesTheWindowInTime);
   CPPUNIT_TEST(AggregatorAddsUpTheUseOfQuotas);
   CPPUNIT_TEST(OtherHostsReportToTheAggregator);
   CPPUNIT_TEST_SUITE_END();
@@ -197,10 +194,6 @@
     constexpr std::uint64_t kPerSecond = 20;
     for (std::uint64_t id = 1; id <= kSeconds * kPerSecond; ++id) {
       node.Send(id, "/read/1", kKey);
-      // Requests that do not run are not counted.
-      for (const auto& [peer, order] : node.harness_.TakeRunOrders()) {
-        node.harness_.ReceiveAnswer(peer, order, {});
-      }
       node.harness_.RunFor(milliseconds(1000) / kPerSecond);
     }
     const QuotaUse use = UseOf(node.harness_.state().quota_.meters_.at(gates));
@@ -208,101 +201,6 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 * kPerSecond, use.per_second_, 2.0);
   }
 
-  // Guards against charging a workspace for requests that were rejected for
-  // lack of capacity: it would then be over its quota when capacity returns.
-  void RequestsThatDidNotRunLeaveTheQuotaUnused() {
-    const std::uint64_t gates = HashBytes(std::string("gates"));
-    NodeWithWorkspaces node(TableWithWorkspaces(1, 10.0));
-    node.harness_.state().admitted_["read"] = 0.0;
-    for (std::uint64_t id = 1; id <= 200; ++id) {
-      node.Send(id, "/read/1", kKey);
-      CPPUNIT_ASSERT_EQUAL(503, node.harness_.TakeAnswerStatus());
-    }
-    const RelayState& state = node.harness_.state();
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(
-        0.0, UseOf(state.quota_.meters_.at(gates)).used_, 1e-9);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.counters_.over_quota_);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, state.counters_.quota_unused_);
-  }
-
-  // Clients honour a third of the time they have left. The time away tells
-  // promised returns from those that were told the longest time.
-  void RejectedRequestsAreToldATimeThatTheyHonour() {
-    struct Row {
-      const char* name_;
-      milliseconds remaining_;
-      std::uint64_t promised_returns_;
-    };
-    const Row rows[] = {
-        {"first send", milliseconds(900), 0},
-        {"jitter of the deadline", milliseconds(850), 0},
-        {"returned as promised", milliseconds(700), 1},
-        {"returned after the longest time", milliseconds(600), 0}};
-    for (const Row& row : rows) {
-      NodeWithWorkspaces node(TableWithWorkspaces(1, 10.0));
-      for (std::uint64_t id = 1; id <= 60; ++id) node.Send(id, "/read/1", kKey);
-      for (const AnswerRequest& answer : node.harness_.Take<AnswerRequest>()) {
-        const std::string* wait =
-            FindHeader(answer.response_.headers_, "Retry-After");
-        CPPUNIT_ASSERT(wait != nullptr);
-        CPPUNIT_ASSERT(std::stod(*wait) >= 0.1);
-        CPPUNIT_ASSERT(std::stod(*wait) <= 0.3);
-      }
-      node.harness_.Feed(
-          RequestArrived{.request_id_ = 100,
-                         .trace_id_ = "t100",
-                         .host_ = "h",
-                         .remaining_ = row.remaining_,
-                         .key_ = kKey,
-                         .request_ = {.method_ = "GET", .target_ = "/read/1"}});
-      const RelayCounters& counters = node.harness_.state().counters_;
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(
-          row.name_, row.promised_returns_,
-          counters.quota_returns_admitted_ + counters.quota_returns_rejected_);
-    }
-  }
-
-  // Guards against a process that restarts and whose requests count for a
-  // window after its end, however long before they were sent: the whole fleet
-  // would then leave that part of the limit unused.
-  void UseOfAnEndedProcessLeavesTheWindowInTime() {
-    const std::uint64_t gates = HashBytes(std::string("gates"));
-    RelayOptions options = RelayHarness::DefaultOptions();
-    const auto rank = [&](const std::string& address) {
-      return HashBytes(options.zone_ + '/' + address);
-    };
-    for (int i = 1; rank(options.address_) >= rank(kPeer); ++i) {
-      options.address_ = "10.0.2." + std::to_string(i) + ":7000";
-    }
-    RelayHarness harness(options);
-    harness.Feed(TableRead{.table_ = TableWithWorkspaces(1, 100.0)});
-    harness.AddPeer(kPeer, kConnection);
-    const auto report = [&](std::uint64_t connection, double used) {
-      harness.Feed(LinkReceived{
-          .connection_id_ = connection,
-          .message_ =
-              QuotaReport{.scope_ = QuotaScope::kHost,
-                          .zone_ = "z1",
-                          .uses_ = {{gates, {10.0, 10.0, 10.0, used}}}}});
-    };
-    const auto run = [&](milliseconds time, std::uint64_t connection,
-                         double used) {
-      for (milliseconds passed{0}; passed < time; passed += milliseconds(250)) {
-        report(connection, used);
-        harness.RunFor(milliseconds(250));
-      }
-    };
-    // 50 requests at once, a restart 3 s later.
-    run(milliseconds(3000), kConnection, 50.0);
-    harness.AddPeer(kPeer, 3);
-    run(milliseconds(1000), 3, 5.0);
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(
-        55.0, harness.state().quota_.fleet_.at(gates).used_, 1e-9);
-    run(milliseconds(1500), 3, 5.0);
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(
-        5.0, harness.state().quota_.fleet_.at(gates).used_, 1e-9);
-  }
-
   // The sums decide what the whole fleet admits. Guards against forgetting what
   // a host has sent because its process restarted, and against a zone that is
   // cut off and goes on sending its part of the limit.
--- a/src/sidecar/relay_metrics.cc
+++ b/src/sidecar/relay_metrics.cc
@@ -29,10 +29,6 @@
   Counter(text, "unrouted", counters.unrouted_);
   Counter(text, "key_rejected", counters.key_rejected_);
   Counter(text, "over_quota", counters.over_quota_);
-  Counter(text, "quota_returns_promised", counters.quota_returns_promised_);
-  Counter(text, "quota_returns_admitted", counters.quota_returns_admitted_);
-  Counter(text, "quota_returns_rejected", counters.quota_returns_rejected_);
-  Counter(text, "quota_unused", counters.quota_unused_);
   Counter(text, "quota_reports_sent", counters.quota_reports_sent_);
   Counter(text, "sends", counters.sends_);
   Counter(text, "resends", counters.resends_);
