Load reports without a pace are not sent to other hosts

Backend servers of the earlier deployments state three values, which no entry uses; their reports would have added about 40 bytes to every status and reply. The check in HostPassesTheLatestReportOn, that such a report is passed on, now is that it replaces the known one and is not. relay_tests pass.

--- a/src/relay/internal/backend_notice.cc
+++ b/src/relay/internal/backend_notice.cc
@@ -97,10 +97,12 @@
   backend.load_report_ = {.report_ = *notice.load_, .received_at_ = step.now_};
 }
 
+// Nobody uses a report without a pace, which would only cost bytes on each
+// link.
 std::optional<LoadReport> CurrentLoadReport(const RelayState& state,
                                             Timestamp now) {
   const auto& received = state.backend_.load_report_;
-  if (!received) return std::nullopt;
+  if (!received || !received->report_.pace_) return std::nullopt;
   LoadReport report = received->report_;
   report.age_ = now - received->received_at_;
   return report;
