--- a/src/relay/internal/demand.cc
+++ b/src/relay/internal/demand.cc
@@ -123,17 +123,6 @@
   }
 }
 
-// Longest round trip to a connected host of a region; nullopt if none is known.
-std::optional<Duration> RoundTripTo(const RelayStep& step,
-                                    const std::string& region) {
-  std::optional<Duration> longest;
-  for (const auto& [address, peer] : step.state_.peers_) {
-    if (!peer.connected_ || peer.status_.region_ != region) continue;
-    longest = std::max(longest.value_or(Duration::zero()), peer.round_trip_);
-  }
-  return longest;
-}
-
 // Plans what other regions run of what this region does not admit. A route
 // whose latency objective the round trip would use up is left out: its clients
 // do better by coming back.
--- a/src/relay/internal/explain_placement.cc
+++ b/src/relay/internal/explain_placement.cc
@@ -27,22 +27,6 @@
   return "unknown";
 }
 
-std::string_view BackendName(BackendState state) {
-  switch (state) {
-    case BackendState::kUnknown:
-      return "unknown";
-    case BackendState::kReady:
-      return "ready";
-    case BackendState::kDraining:
-      return "draining";
-    case BackendState::kGone:
-      return "gone";
-    case BackendState::kUnreachable:
-      return "unreachable";
-  }
-  return "unknown";
-}
-
 std::string_view ExclusionText(HostExclusion exclusion) {
   switch (exclusion) {
     case HostExclusion::kNone:
@@ -74,7 +58,7 @@
           .region_ = status.region_,
           .instance_ = status.instance_,
           .distance_ = DistanceName(DistanceTo(view.options_, status)),
-          .backend_ = BackendName(status.backend_),
+          .backend_ = FormatState(status.backend_),
           .avoided_ = peer.avoided_,
           .slots_ = status.slots_,
           .running_ = status.running_,
--- a/src/relay/internal/own_backend.cc
+++ b/src/relay/internal/own_backend.cc
@@ -16,22 +16,6 @@
 // when its sender ended.
 constexpr Duration kMaxHeartbeatDelay = std::chrono::seconds(1);
 
-std::string_view FormatState(BackendState state) {
-  switch (state) {
-    case BackendState::kUnknown:
-      return "unknown";
-    case BackendState::kReady:
-      return "ready";
-    case BackendState::kDraining:
-      return "draining";
-    case BackendState::kGone:
-      return "gone";
-    case BackendState::kUnreachable:
-      return "unreachable";
-  }
-  return "unknown";
-}
-
 // Changes the state and broadcasts it. Entries are notified before the backend
 // server's message is acknowledged, since both leave in the same step.
 void ChangeState(RelayStep& step, BackendState state, std::string_view why) {
@@ -123,6 +107,22 @@
 
 }  // namespace
 
+std::string_view FormatState(BackendState state) {
+  switch (state) {
+    case BackendState::kUnknown:
+      return "unknown";
+    case BackendState::kReady:
+      return "ready";
+    case BackendState::kDraining:
+      return "draining";
+    case BackendState::kGone:
+      return "gone";
+    case BackendState::kUnreachable:
+      return "unreachable";
+  }
+  return "unknown";
+}
+
 void OnBackendHeartbeat(RelayStep& step, const BackendHeartbeat& heartbeat) {
   if (heartbeat.address_ != step.options_.backend_address_) {
     ++step.state_.counters_.inputs_unreadable_;
--- a/src/relay/internal/region_sharing.cc
+++ b/src/relay/internal/region_sharing.cc
@@ -179,16 +179,6 @@
   }
 }
 
-std::optional<Duration> RoundTripTo(const RelayStep& step,
-                                    const std::string& region) {
-  std::optional<Duration> longest;
-  for (const auto& [address, peer] : step.state_.peers_) {
-    if (!peer.connected_ || peer.status_.region_ != region) continue;
-    longest = std::max(longest.value_or(Duration::zero()), peer.round_trip_);
-  }
-  return longest;
-}
-
 // Other regions that can be reached within the latency objective of a route.
 // What is not sent there is not admitted.
 void RemoveDistantRegions(const RelayStep& step, RegionPlan& plan) {
--- a/src/relay/internal/relay_step.h
+++ b/src/relay/internal/relay_step.h
@@ -3,6 +3,7 @@
 
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "relay/relay_types.h"
@@ -84,6 +85,8 @@
 
 // The local backend server.
 
+// Name of the state in the log and in explanations.
+std::string_view FormatState(BackendState state);
 void OnBackendHeartbeat(RelayStep& step, const BackendHeartbeat& heartbeat);
 // Applies the heartbeat that is held if it is known to be current.
 void ApplyHeldHeartbeat(RelayStep& step);
--- a/src/relay/internal/zone_sums.cc
+++ b/src/relay/internal/zone_sums.cc
@@ -321,6 +321,16 @@
   return view;
 }
 
+std::optional<Duration> RoundTripTo(const RelayStep& step,
+                                    const std::string& region) {
+  std::optional<Duration> longest;
+  for (const auto& [address, peer] : step.state_.peers_) {
+    if (!peer.connected_ || peer.status_.region_ != region) continue;
+    longest = std::max(longest.value_or(Duration::zero()), peer.round_trip_);
+  }
+  return longest;
+}
+
 std::vector<RemoteRegion> BuildRemoteRegions(const RelayStep& step) {
   std::map<std::string, RemoteRegion> regions;
   for (const auto& [zone, known] : step.state_.remote_zone_sums_) {
--- a/src/relay/internal/zone_sums.h
+++ b/src/relay/internal/zone_sums.h
@@ -2,6 +2,7 @@
 #define JUJUBEFRONT_RELAY_INTERNAL_ZONE_SUMS_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,6 +26,10 @@
 
 RegionView BuildRegionView(const RelayStep& step);
 
+// Longest round trip to a connected host of a region; nullopt if none is known.
+std::optional<Duration> RoundTripTo(const RelayStep& step,
+                                    const std::string& region);
+
 // Loads of the services of each other region, from the sums of its zones.
 std::vector<RemoteRegion> BuildRemoteRegions(const RelayStep& step);
 
